--- a/src/bin/grebemill-simhost.rs
+++ b/src/bin/sedgerun-adapter.rs
@@ -1,9 +1,9 @@
 //! Hosts many instances of the decision module on the simulator's wire: frames on standard input, replies
 //! on standard output. Ends with 0 at the end of input, and with one line on standard error otherwise.
 
-use grebemill::Controller;
-use grebemill::api::Action;
-use grebemill::wire::{Record, Reply, WireError, read_batch};
+use sedgerun::Controller;
+use sedgerun::api::Action;
+use sedgerun::wire::{Record, Reply, WireError, read_batch};
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::process::ExitCode;
@@ -12,7 +12,7 @@
     match run(&mut io::stdin().lock(), &mut io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("grebemill-simhost: {error}");
+            eprintln!("sedgerun-adapter: {error}");
             ExitCode::FAILURE
         }
     }
--- a/src/control.rs
+++ b/src/control.rs
@@ -1,4 +1,4 @@
-//! Every decision of grebemill; its interface, the plain types that go in and come out, is `api.rs`.
+//! Every decision of sedgerun; its interface, the plain types that go in and come out, is `api.rs`.
 //!
 //! From top to bottom: tuned constants, the estimator and the loop (Triage's self-tuning regulator), the
 //! band split, the limit store, node health and the cold guard, and the life of a request. One
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -2,8 +2,8 @@
 //! every rule on what they do. It models no real node.
 #![allow(dead_code)]
 
-use grebemill::api::*;
-use grebemill::control::Controller;
+use sedgerun::api::*;
+use sedgerun::control::Controller;
 use std::collections::{BTreeMap, BTreeSet};
 
 pub const MS: Micros = 1_000;
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -1,7 +1,7 @@
 //! The codec against frames made by hand, and the binary as a process.
 
-use grebemill::api::*;
-use grebemill::wire::{Record, Reply, read_batch, read_settings};
+use sedgerun::api::*;
+use sedgerun::wire::{Record, Reply, read_batch, read_settings};
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
 
@@ -34,7 +34,7 @@
 }
 
 fn simhost(input: &[u8]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_grebemill-simhost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_sedgerun-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
