--- /dev/null
+++ b/src/back/http.rs
@@ -0,0 +1,132 @@
+//! Attempts over HTTP/1.1, with awc.
+
+use super::Reply;
+use crate::api::{Ending, Micros};
+use crate::exchange::Ended;
+use actix_http::{Method, StatusCode, Uri};
+use actix_rt::net::TcpStream;
+use actix_service::ServiceExt;
+use actix_tls::connect::{Connection, Connector as TcpConnector, Resolver};
+use awc::error::{ConnectError, SendRequestError};
+use awc::http::header::HeaderMap;
+use awc::{Client, Connector};
+use bytes::Bytes;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// The largest body of a message.
+pub const MOST_BODY: usize = 64 * 1024;
+
+/// A client's request, to be passed on unchanged.
+#[derive(Debug)]
+pub struct HttpJob {
+    /// Its `Request-Id`.
+    pub id: String,
+    /// The method.
+    pub method: Method,
+    /// Path and query.
+    pub target: String,
+    /// The headers that a node reads, and their values.
+    pub headers: Vec<(&'static str, String)>,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// Spans that the client works with.
+#[derive(Clone, Copy, Debug)]
+pub struct Spans {
+    /// A connection not made by then is given up.
+    pub dial: Duration,
+    /// Nodes close connections that stood idle for so long.
+    pub idle: Duration,
+}
+
+/// The HTTP client of the program.
+pub struct HttpBack {
+    client: RefCell<Client>,
+    spans: Spans,
+}
+
+/// A client that queues nothing, follows nothing, and has no clock but the caller's.
+pub fn client(spans: Spans) -> Client {
+    // Guards against Nagle's algorithm, which awc leaves on: the last part of a large write would wait for
+    // an acknowledgement that the node delays.
+    let dial = TcpConnector::new(Resolver::default()).service().map(|made: Connection<Uri, TcpStream>| {
+        let _ = made.io_ref().set_nodelay(true);
+        made
+    });
+    let connector = Connector::new()
+        .connector(dial)
+        .limit(0) // awc holds 100 connections by default, and queues what comes past them
+        .timeout(spans.dial)
+        .conn_keep_alive(spans.idle.mul_f64(0.6)) // a write on a connection that the node closes is a reset
+        .conn_lifetime(Duration::from_secs(24 * 3600));
+    Client::builder().connector(connector).disable_timeout().disable_redirects().no_default_headers().finish()
+}
+
+impl HttpBack {
+    /// A client with these spans.
+    pub fn new(spans: Spans) -> HttpBack {
+        HttpBack { client: RefCell::new(client(spans)), spans }
+    }
+
+    /// Closes all idle connections. Those in use stay until their attempts end.
+    pub fn shed_idle(&self) {
+        *self.client.borrow_mut() = client(self.spans);
+    }
+
+    /// Makes one attempt. Dropping the future closes its connection.
+    pub async fn attempt(&self, address: SocketAddr, left: Micros, job: &HttpJob) -> Ended<Reply> {
+        let client = self.client.borrow().clone();
+        let url = format!("http://{address}{}", job.target);
+        let mut request = client
+            .request(job.method.clone(), url)
+            .insert_header(("Request-Id", job.id.as_str()))
+            .insert_header(("Request-Timeout-Ms", (left / 1000).max(1).to_string()));
+        for (name, value) in &job.headers {
+            request = request.insert_header((*name, value.as_str()));
+        }
+        // A write keeps its framing even where its body is empty.
+        let sent = if job.body.is_empty() && job.method == Method::GET {
+            request.send().await
+        } else {
+            request.send_body(job.body.clone()).await
+        };
+        let mut response = match sent {
+            Ok(response) => response,
+            Err(error) => return Ended::bare(ending(&error)),
+        };
+        let (status, not_started) = (response.status(), response.headers().contains_key("Not-Started"));
+        let used = figure(response.headers(), "X-Iops-Used").map(|percent| percent / 100.0);
+        let elsewhere = figure(response.headers(), "X-Rho").unwrap_or(0.0);
+        let body = response.body().limit(MOST_BODY).await;
+        let (ending, reply) = match (status, body) {
+            (StatusCode::OK, Ok(body)) => (Ending::Ok, Some(Reply::Http(body))),
+            (StatusCode::OK, Err(_)) => (Ending::Reset, None),
+            (StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT, _) if not_started => {
+                (Ending::Full, None)
+            }
+            _ => (Ending::Error, None),
+        };
+        Ended { ending, reply, used, elsewhere }
+    }
+}
+
+fn figure(headers: &HeaderMap, name: &str) -> Option<f64> {
+    let value: f64 = headers.get(name)?.to_str().ok()?.trim().parse().ok()?;
+    (value.is_finite() && value >= 0.0).then_some(value)
+}
+
+/// What an error proves. Only a connection that was never made, or a request whose last byte the kernel
+/// never took, proves that nothing ran. awc reports a connection that ends before its answer as
+/// `Connect(Disconnected)`: that one has been made, and the request written.
+fn ending(error: &SendRequestError) -> Ending {
+    match error {
+        SendRequestError::Connect(ConnectError::Disconnected) => Ending::Reset,
+        SendRequestError::Connect(_) | SendRequestError::Send(_) | SendRequestError::Url(_) => {
+            Ending::ConnectFailed
+        }
+        _ => Ending::Reset,
+    }
+}
--- /dev/null
+++ b/src/back/mod.rs
@@ -0,0 +1,64 @@
+//! The client side: makes attempts at nodes, each over the wire that its job came in.
+
+pub mod http;
+
+use crate::api::{Micros, NodeId};
+use crate::exchange::Ended;
+use bytes::Bytes;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+
+/// What a front hands through the exchange.
+#[derive(Debug)]
+pub enum Job {
+    /// An HTTP request.
+    Http(http::HttpJob),
+}
+
+/// What a node answered, in the wire of the job.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    /// The body of a 200.
+    Http(Bytes),
+}
+
+/// The names that deployments give their nodes, as the numbers that the decisions use.
+#[derive(Debug, Default)]
+pub struct Names(RefCell<HashMap<String, NodeId>>);
+
+impl Names {
+    /// The number of a name; the same name always has the same one.
+    pub fn node(&self, name: &str) -> NodeId {
+        let mut names = self.0.borrow_mut();
+        let next = NodeId(names.len() as u64 + 1);
+        *names.entry(name.to_owned()).or_insert(next)
+    }
+}
+
+/// The backs of all wires.
+pub struct Backs {
+    /// Numbers of nodes.
+    pub names: Names,
+    /// HTTP addresses of nodes.
+    pub addresses: RefCell<BTreeMap<NodeId, SocketAddr>>,
+    /// The HTTP client.
+    pub http: http::HttpBack,
+}
+
+impl Backs {
+    /// Backs that know no node yet.
+    pub fn new(http: http::HttpBack) -> Backs {
+        Backs { names: Names::default(), addresses: RefCell::default(), http }
+    }
+
+    /// Makes an attempt; `None` where the node cannot take this kind of job.
+    pub async fn attempt(&self, node: NodeId, left: Micros, job: &Job) -> Option<Ended<Reply>> {
+        match job {
+            Job::Http(job) => {
+                let address = self.addresses.borrow().get(&node).copied()?;
+                Some(self.http.attempt(address, left, job).await)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/discovery.rs
@@ -0,0 +1,155 @@
+//! The watch on discovery's list: one call after the other, for as long as the program lives.
+
+use crate::api::{Listed, Micros, NodeId, Readiness, Scope};
+use crate::back::Backs;
+use crate::back::http::{Spans, client};
+use crate::config::Config;
+use crate::hub::Hub;
+use awc::Client;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// How long a watch may wait for news.
+const WAIT: Duration = Duration::from_secs(8);
+/// Time past the wait after which a call counts as lost: what discovery tells counts 2 s after it.
+const LOST: Duration = Duration::from_millis(1500);
+/// The largest list that is read.
+const MOST_LIST: usize = 1 << 20;
+
+/// A list as discovery gives it.
+#[derive(Debug, PartialEq)]
+pub struct List {
+    /// Its version.
+    pub generation: u64,
+    /// The whole list, not only changes.
+    pub whole: bool,
+    /// The entries, with the addresses of those that run.
+    pub nodes: Vec<(Listed, Option<SocketAddr>)>,
+}
+
+/// Reads a list; an error names what is wrong with it.
+pub fn read_list(json: &Value, zones: &[String], number: impl Fn(&str) -> NodeId) -> Result<List, String> {
+    let generation = json.get("generation").and_then(Value::as_u64).ok_or("generation is not a number")?;
+    let whole = json.get("reset").and_then(Value::as_bool).ok_or("reset is neither true nor false")?;
+    let entries = json.get("instances").and_then(Value::as_array).ok_or("instances is not a list")?;
+    let mut nodes = Vec::with_capacity(entries.len());
+    for (i, entry) in entries.iter().enumerate() {
+        let bad = |name: &str| format!("instances.{i}.{name} is missing or malformed");
+        let text = |name: &str| entry.get(name).and_then(Value::as_str);
+        let id = text("instanceId").filter(|id| !id.is_empty()).ok_or_else(|| bad("instanceId"))?;
+        let readiness = match text("lifecycle") {
+            Some("ready") => Readiness::Ready,
+            Some("draining") => Readiness::Draining,
+            Some("gone") => Readiness::Gone,
+            _ => return Err(bad("lifecycle")),
+        };
+        let address = text("hostPort").and_then(|address| address.parse().ok());
+        if address.is_none() && readiness != Readiness::Gone {
+            return Err(bad("hostPort"));
+        }
+        let cell = entry.get("cell").and_then(Value::as_u64).and_then(|cell| u32::try_from(cell).ok());
+        let cell = match (cell, readiness) {
+            (Some(cell), _) => cell,
+            (None, Readiness::Gone) => 0,
+            (None, _) => return Err(bad("cell")),
+        };
+        let zone = text("zone").and_then(|zone| zones.iter().position(|known| known == zone)).unwrap_or(0);
+        let came_up = entry.get("startedAtMs").and_then(Value::as_u64).unwrap_or(0).saturating_mul(1000);
+        let node = number(id);
+        nodes.push((Listed { node, cell, zone: zone as u16, came_up: came_up as Micros, readiness }, address));
+    }
+    Ok(List { generation, whole, nodes })
+}
+
+/// Watches discovery for one program.
+pub struct Discovery {
+    hub: Rc<Hub>,
+    config: Rc<Config>,
+    client: Client,
+    generation: Option<u64>,
+}
+
+impl Discovery {
+    /// A watch that tells this hub.
+    pub fn new(hub: Rc<Hub>, config: Rc<Config>) -> Discovery {
+        let dial = Duration::from_secs(1);
+        let client = client(Spans { dial, idle: Duration::from_secs(60) });
+        Discovery { hub, config, client, generation: None }
+    }
+
+    /// Takes the list that the program was started with.
+    pub fn take_known(&mut self) {
+        let known = self.config.known.clone();
+        let list = known.map(|known| read_list(&known, &self.config.zones, |id| self.number(id)));
+        match list {
+            Some(Ok(list)) => self.tell(Scope::Cached, list),
+            Some(Err(what)) => {
+                eprintln!("known: {what}");
+                self.hub.list(Scope::Cached, Vec::new());
+            }
+            None => self.hub.list(Scope::Cached, Vec::new()),
+        }
+    }
+
+    /// Watches whenever the controller asks for it, until a call fails.
+    pub async fn run(mut self) {
+        loop {
+            self.hub.wants_watch().await;
+            loop {
+                match self.call().await {
+                    Ok(list) => {
+                        let scope = if list.whole { Scope::Full } else { Scope::Delta };
+                        self.tell(scope, list);
+                    }
+                    Err(what) => {
+                        eprintln!("discovery: {what}");
+                        self.hub.list(Scope::Failed, Vec::new());
+                        break;
+                    }
+                }
+            }
+        }
+    }
+
+    async fn call(&self) -> Result<List, String> {
+        let address = self.config.discovery;
+        let (url, wait) = match self.generation {
+            Some(since) => {
+                let wait = WAIT.as_millis();
+                (format!("http://{address}/v1/servers?since={since}&timeout_ms={wait}"), WAIT)
+            }
+            None => (format!("http://{address}/v1/servers"), Duration::ZERO),
+        };
+        let exchange = async {
+            let mut response =
+                self.client.get(url).send().await.map_err(|error| format!("call failed: {error}"))?;
+            if response.status() != 200 {
+                return Err(format!("call answered {}", response.status().as_u16()));
+            }
+            response.body().limit(MOST_LIST).await.map_err(|error| format!("answer broke off: {error}"))
+        };
+        let body = tokio::time::timeout(wait + LOST, exchange).await.map_err(|_| "no answer in time")??;
+        let json = serde_json::from_slice(&body).map_err(|error| format!("malformed list: {error}"))?;
+        read_list(&json, &self.config.zones, |id| self.number(id))
+            .map_err(|what| format!("malformed list: {what}"))
+    }
+
+    fn number(&self, id: &str) -> NodeId {
+        let backs: &Backs = self.hub.backs();
+        backs.names.node(id)
+    }
+
+    fn tell(&mut self, scope: Scope, list: List) {
+        self.generation = Some(list.generation);
+        let mut addresses = self.hub.backs().addresses.borrow_mut();
+        for (listed, address) in &list.nodes {
+            if let Some(address) = address {
+                addresses.insert(listed.node, *address);
+            }
+        }
+        drop(addresses);
+        self.hub.list(scope, list.nodes.into_iter().map(|(listed, _)| listed).collect());
+    }
+}
--- /dev/null
+++ b/src/exchange.rs
@@ -0,0 +1,286 @@
+//! The core: open requests, their attempts and timers round the [`Controller`]. It does no I/O, has no clock
+//! of its own and knows no wire: jobs and replies are opaque, and time comes in with every call.
+//!
+//! Whatever the controller says, a request gets one final answer, in time, and has one attempt out at most.
+
+use crate::api::*;
+use crate::control::Controller;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::rc::Rc;
+
+/// Time before a client's deadline by which its answer must be on its way (us): a few turns of the program
+/// on a busy core.
+const ANSWER_MARGIN: Micros = 12_000;
+
+/// What a front asks for. The exchange names it by a number of its own.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ask {
+    /// Position of the class.
+    pub class: usize,
+    /// Position of the plan.
+    pub plan: usize,
+    /// The item of data; 0: none.
+    pub key: u64,
+    /// When the client gives up.
+    pub deadline: Micros,
+    /// The volume.
+    pub volume: u64,
+    /// The size.
+    pub units: f64,
+    /// The shard that holds the data; none: any.
+    pub cell: Option<u32>,
+    /// Heads through which the volume's requests come.
+    pub hosts: f64,
+}
+
+/// How an attempt ended, as a back saw it.
+#[derive(Clone, Debug)]
+pub struct Ended<R> {
+    /// How.
+    pub ending: Ending,
+    /// The reply to pass on, where there is one.
+    pub reply: Option<R>,
+    /// The volume's use everywhere, as a multiple of its plan's rate.
+    pub used: Option<f64>,
+    /// Units that the node served the volume through other heads.
+    pub elsewhere: f64,
+}
+
+impl<R> Ended<R> {
+    /// An end that tells no more than how.
+    pub fn bare(ending: Ending) -> Ended<R> {
+        Ended { ending, reply: None, used: None, elsewhere: 0.0 }
+    }
+}
+
+/// The final answer of a request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer<R> {
+    /// Served.
+    Served(R),
+    /// Refused: harmless to try again, after this long.
+    Refused(Micros),
+    /// Failed: nothing is promised.
+    Failed,
+}
+
+/// What the exchange wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect<J, R> {
+    /// Begin an attempt.
+    Send {
+        /// The request.
+        id: RequestId,
+        /// The attempt.
+        attempt: u8,
+        /// Where to.
+        node: NodeId,
+        /// When it is given up.
+        until: Micros,
+        /// What to send.
+        job: Rc<J>,
+    },
+    /// Give up an attempt; its end is already counted.
+    Cancel {
+        /// The request.
+        id: RequestId,
+        /// The attempt.
+        attempt: u8,
+    },
+    /// The one final answer.
+    Final {
+        /// The request.
+        id: RequestId,
+        /// The answer.
+        answer: Answer<R>,
+    },
+    /// Subscribe to changes of the list.
+    Watch,
+}
+
+#[derive(Debug)]
+struct Open<J> {
+    job: Rc<J>,
+    deadline: Micros,
+    sends: u8,
+    out: Option<u8>,
+}
+
+#[derive(Debug)]
+struct Flight {
+    node: NodeId,
+    sent_at: Micros,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Module(u64),
+    Attempt(RequestId, u8),
+    Deadline(RequestId),
+}
+
+/// The exchange of one head; `J` is what is sent, `R` what comes back.
+#[derive(Debug)]
+pub struct Exchange<J, R> {
+    controller: Controller,
+    open: BTreeMap<RequestId, Open<J>>,
+    flights: BTreeMap<(RequestId, u8), Flight>,
+    timers: BinaryHeap<Reverse<(Micros, Due)>>,
+    next: RequestId,
+    most_open: usize,
+    now: Micros,
+    effects: VecDeque<Effect<J, R>>,
+}
+
+impl<J, R> Exchange<J, R> {
+    /// An exchange round a fresh controller, with room for so many open requests.
+    pub fn new(settings: Settings, seed: u64, most_open: usize) -> Self {
+        Exchange {
+            controller: Controller::new(settings, seed),
+            open: BTreeMap::new(),
+            flights: BTreeMap::new(),
+            timers: BinaryHeap::new(),
+            next: 0,
+            most_open,
+            now: 0,
+            effects: VecDeque::new(),
+        }
+    }
+
+    /// The next thing to do.
+    pub fn effect(&mut self) -> Option<Effect<J, R>> {
+        self.effects.pop_front()
+    }
+
+    /// When [`Exchange::tick`] is next due.
+    pub fn next_due(&self) -> Option<Micros> {
+        self.timers.peek().map(|Reverse((at, _))| *at)
+    }
+
+    /// Requests without a final answer.
+    pub fn open(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Takes a request; `None` where there is no room for it.
+    pub fn request(&mut self, now: Micros, ask: Ask, job: J) -> Option<RequestId> {
+        if self.open.len() >= self.most_open {
+            return None;
+        }
+        let id = self.next;
+        self.next = self.next.wrapping_add(1);
+        let Ask { class, plan, key, deadline, volume, units, cell, hosts } = ask;
+        self.open.insert(id, Open { job: Rc::new(job), deadline, sends: 0, out: None });
+        self.timers.push(Reverse((deadline.saturating_sub(ANSWER_MARGIN / 2), Due::Deadline(id))));
+        let request = Request { id, class, plan, key, deadline, volume, units, cell, hosts };
+        self.handle(now, Event::Request(request));
+        Some(id)
+    }
+
+    /// The client of a request has gone away. An attempt that is out runs on.
+    pub fn gone(&mut self, now: Micros, id: RequestId) {
+        if self.open.remove(&id).is_some() {
+            self.handle(now, Event::Gone { id });
+        }
+    }
+
+    /// An attempt ended. Ends of attempts that were already given up are passed over.
+    pub fn outcome(&mut self, now: Micros, id: RequestId, attempt: u8, ended: Ended<R>) {
+        let Some(flight) = self.flights.remove(&(id, attempt)) else { return };
+        let Ended { ending, reply, used, elsewhere } = ended;
+        // A node that says it served and gives nothing to pass on has not served.
+        let ending = if ending == Ending::Ok && reply.is_none() { Ending::Error } else { ending };
+        if let Some(open) = self.open.get_mut(&id) {
+            open.out = open.out.filter(|out| *out != attempt);
+        }
+        let served = ending == Ending::Ok;
+        if let (true, Some(reply), true) = (served, reply, self.open.remove(&id).is_some()) {
+            self.effects.push_back(Effect::Final { id, answer: Answer::Served(reply) });
+        }
+        let over = !self.open.contains_key(&id);
+        let took = now.saturating_sub(flight.sent_at);
+        let node = flight.node;
+        let outcome = Outcome { id, attempt, node, ending, took, over, used, elsewhere };
+        self.handle(now, Event::Outcome(outcome));
+    }
+
+    /// News of the list.
+    pub fn list(&mut self, now: Micros, scope: Scope, nodes: Vec<Listed>) {
+        self.handle(now, Event::List { scope, nodes });
+    }
+
+    /// Runs what has come due.
+    pub fn tick(&mut self, now: Micros) {
+        while let Some(Reverse((at, due))) = self.timers.peek().copied() {
+            if at > now {
+                break;
+            }
+            self.timers.pop();
+            match due {
+                Due::Module(token) => self.handle(now, Event::Timer { token }),
+                Due::Attempt(id, attempt) => self.give_up(now, id, attempt, Ending::Timeout),
+                Due::Deadline(id) => {
+                    if let Some(attempt) = self.open.get(&id).and_then(|open| open.out) {
+                        self.give_up(now, id, attempt, Ending::Timeout);
+                    }
+                    // Guards against a request that the controller holds past its deadline: never silence.
+                    if self.open.contains_key(&id) {
+                        self.finish(id, Answer::Failed);
+                        self.handle(now, Event::Gone { id });
+                    }
+                }
+            }
+        }
+    }
+
+    /// Ends an attempt from this side: it is cancelled, and its end told to the controller.
+    fn give_up(&mut self, now: Micros, id: RequestId, attempt: u8, ending: Ending) {
+        if self.flights.contains_key(&(id, attempt)) {
+            self.effects.push_back(Effect::Cancel { id, attempt });
+            self.outcome(now, id, attempt, Ended::bare(ending));
+        }
+    }
+
+    /// Gives the final answer, once.
+    fn finish(&mut self, id: RequestId, answer: Answer<R>) {
+        if self.open.remove(&id).is_some() {
+            self.effects.push_back(Effect::Final { id, answer });
+        }
+    }
+
+    fn handle(&mut self, now: Micros, event: Event) {
+        self.now = self.now.max(now);
+        let now = self.now;
+        let mut actions = Vec::new();
+        self.controller.handle(now, event, &mut actions);
+        for action in actions {
+            match action {
+                Action::Send { id, node, until } => self.send(now, id, node, until),
+                Action::Refuse { id, retry_after } => self.finish(id, Answer::Refused(retry_after)),
+                Action::Fail { id } => self.finish(id, Answer::Failed),
+                Action::Cancel { id, attempt } => self.give_up(now, id, attempt, Ending::Cancelled),
+                Action::Timer { at, token } => self.timers.push(Reverse((at, Due::Module(token)))),
+                Action::Probe { .. } => {}
+                Action::Watch => self.effects.push_back(Effect::Watch),
+            }
+        }
+    }
+
+    fn send(&mut self, now: Micros, id: RequestId, node: NodeId, until: Micros) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let attempt = open.sends;
+        open.sends = open.sends.saturating_add(1);
+        self.flights.insert((id, attempt), Flight { node, sent_at: now });
+        if open.out.is_some() {
+            // Guards against two attempts at once: the second never leaves.
+            self.outcome(now, id, attempt, Ended::bare(Ending::Moot));
+            return;
+        }
+        open.out = Some(attempt);
+        let until = until.min(open.deadline.saturating_sub(ANSWER_MARGIN));
+        let job = Rc::clone(&open.job);
+        self.timers.push(Reverse((until, Due::Attempt(id, attempt))));
+        self.effects.push_back(Effect::Send { id, attempt, node, until, job });
+    }
+}
--- /dev/null
+++ b/src/front/mod.rs
@@ -0,0 +1,3 @@
+//! The server side: takes requests, each over its own wire, and hands them to the exchange.
+
+pub mod http;
--- /dev/null
+++ b/src/hub.rs
@@ -0,0 +1,180 @@
+//! Where fronts and backs meet: the exchange with its effects carried out. One [`Hub`] a program, shared by
+//! all tasks of its one thread; whoever brings an event in also carries out what follows from it.
+
+use crate::api::{Ending, Listed, Micros, NodeId, RequestId, Scope, Settings};
+use crate::back::{Backs, Job, Reply};
+use crate::clock::Clock;
+use crate::exchange::{Answer, Ask, Effect, Ended, Exchange};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use tokio::sync::{Notify, oneshot};
+use tokio::task::AbortHandle;
+
+/// The exchange on sockets.
+pub struct Hub {
+    clock: Clock,
+    exchange: RefCell<Exchange<Job, Reply>>,
+    backs: Backs,
+    waiting: RefCell<HashMap<RequestId, oneshot::Sender<Answer<Reply>>>>,
+    flights: RefCell<HashMap<(RequestId, u8), AbortHandle>>,
+    carrying: Cell<bool>,
+    armed: Cell<Micros>,
+    rearm: Notify,
+    watch: Notify,
+    /// Told when a request got its final answer.
+    pub settled: Notify,
+}
+
+/// A request on its way. Dropped before its answer, it tells the exchange that the client has gone.
+pub struct Ticket {
+    hub: Rc<Hub>,
+    id: RequestId,
+    answer: oneshot::Receiver<Answer<Reply>>,
+    done: bool,
+}
+
+impl Ticket {
+    /// Waits for the final answer.
+    pub async fn answer(mut self) -> Answer<Reply> {
+        let answer = (&mut self.answer).await;
+        self.done = true;
+        answer.unwrap_or(Answer::Failed)
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        if !self.done {
+            self.hub.waiting.borrow_mut().remove(&self.id);
+            let now = self.hub.clock.now();
+            self.hub.with(|exchange| exchange.gone(now, self.id));
+        }
+    }
+}
+
+impl Hub {
+    /// A hub round a fresh exchange.
+    pub fn new(clock: Clock, settings: Settings, seed: u64, most_open: usize, backs: Backs) -> Rc<Hub> {
+        Rc::new(Hub {
+            clock,
+            exchange: RefCell::new(Exchange::new(settings, seed, most_open)),
+            backs,
+            waiting: RefCell::default(),
+            flights: RefCell::default(),
+            carrying: Cell::new(false),
+            armed: Cell::new(Micros::MAX),
+            rearm: Notify::new(),
+            watch: Notify::new(),
+            settled: Notify::new(),
+        })
+    }
+
+    /// The clock.
+    pub fn clock(&self) -> Clock {
+        self.clock
+    }
+
+    /// The backs, which know the addresses.
+    pub fn backs(&self) -> &Backs {
+        &self.backs
+    }
+
+    /// Requests without a final answer.
+    pub fn open(&self) -> usize {
+        self.exchange.borrow().open()
+    }
+
+    /// Takes a request; `None` where there is no room for it.
+    pub fn request(self: &Rc<Self>, ask: Ask, job: Job) -> Option<Ticket> {
+        let (sender, answer) = oneshot::channel();
+        let id = self.exchange.borrow_mut().request(self.clock.now(), ask, job)?;
+        self.waiting.borrow_mut().insert(id, sender);
+        self.carry_out();
+        Some(Ticket { hub: Rc::clone(self), id, answer, done: false })
+    }
+
+    /// Tells how an attempt ended.
+    pub fn outcome(self: &Rc<Self>, id: RequestId, attempt: u8, ended: Ended<Reply>) {
+        self.flights.borrow_mut().remove(&(id, attempt));
+        let now = self.clock.now();
+        self.with(|exchange| exchange.outcome(now, id, attempt, ended));
+    }
+
+    /// Brings news of the list.
+    pub fn list(self: &Rc<Self>, scope: Scope, nodes: Vec<Listed>) {
+        let now = self.clock.now();
+        self.with(|exchange| exchange.list(now, scope, nodes));
+    }
+
+    /// Waits until the controller wants a subscription.
+    pub async fn wants_watch(&self) {
+        self.watch.notified().await;
+    }
+
+    /// Runs the exchange's timers for as long as the program lives.
+    pub async fn run_timers(self: Rc<Self>) {
+        loop {
+            let due = self.exchange.borrow().next_due();
+            self.armed.set(due.unwrap_or(Micros::MAX));
+            let Some(due) = due else {
+                self.rearm.notified().await;
+                continue;
+            };
+            let sleep = tokio::time::sleep_until(self.clock.instant(due).into());
+            tokio::select! {
+                () = sleep => {
+                    let now = self.clock.now();
+                    self.with(|exchange| exchange.tick(now));
+                }
+                () = self.rearm.notified() => {}
+            }
+        }
+    }
+
+    fn with(self: &Rc<Self>, act: impl FnOnce(&mut Exchange<Job, Reply>)) {
+        act(&mut self.exchange.borrow_mut());
+        self.carry_out();
+    }
+
+    /// Carries out the exchange's effects in their order. What follows while one is carried out queues up
+    /// behind it.
+    fn carry_out(self: &Rc<Self>) {
+        if self.carrying.replace(true) {
+            return;
+        }
+        loop {
+            let Some(effect) = self.exchange.borrow_mut().effect() else { break };
+            match effect {
+                Effect::Send { id, attempt, node, until, job } => self.send(id, attempt, node, until, job),
+                Effect::Cancel { id, attempt } => {
+                    if let Some(flight) = self.flights.borrow_mut().remove(&(id, attempt)) {
+                        flight.abort();
+                    }
+                }
+                Effect::Final { id, answer } => {
+                    if let Some(waiting) = self.waiting.borrow_mut().remove(&id) {
+                        // The client may have gone in the meantime; then nobody is owed an answer.
+                        let _ = waiting.send(answer);
+                    }
+                    self.settled.notify_waiters();
+                }
+                Effect::Watch => self.watch.notify_one(),
+            }
+        }
+        self.carrying.set(false);
+        if self.exchange.borrow().next_due().is_some_and(|due| due < self.armed.get()) {
+            self.rearm.notify_one();
+        }
+    }
+
+    fn send(self: &Rc<Self>, id: RequestId, attempt: u8, node: NodeId, until: Micros, job: Rc<Job>) {
+        let hub = Rc::clone(self);
+        let left = until.saturating_sub(self.clock.now());
+        let flight = actix_rt::spawn(async move {
+            let ended = hub.backs.attempt(node, left, &job).await;
+            hub.outcome(id, attempt, ended.unwrap_or_else(|| Ended::bare(Ending::Moot)));
+        });
+        self.flights.borrow_mut().insert((id, attempt), flight.abort_handle());
+    }
+}
