Keep a request open when its attempt ends unserved; no request is lost any more

Ruled out: timers (refusals by the look timer came in time) and the sockets (no error in the logs). At fault: Exchange::outcome removed the open request inside a tuple that is evaluated whatever the ending was, so the controller's refusal or failure found nothing to answer.

--- a/src/config.rs
+++ b/src/config.rs
@@ -94,7 +94,9 @@
             settings: read_settings(&lines).map_err(|error| format!("settings: {error}"))?,
             classes: names("classes")?,
             plans: names("plans")?,
-            zones: pairs.get("zones").map_or(Vec::new(), |zones| zones.split(',').map(str::to_owned).collect()),
+            zones: pairs
+                .get("zones")
+                .map_or(Vec::new(), |zones| zones.split(',').map(str::to_owned).collect()),
             idle: figure("limits.connIdle", 15_000_000)?,
             dial: figure("limits.dialTimeout", 250_000)?,
             most_open: figure("limits.maxOpen", 20_000)? as usize,
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -58,7 +58,8 @@
         let zone = text("zone").and_then(|zone| zones.iter().position(|known| known == zone)).unwrap_or(0);
         let came_up = entry.get("startedAtMs").and_then(Value::as_u64).unwrap_or(0).saturating_mul(1000);
         let node = number(id);
-        nodes.push((Listed { node, cell, zone: zone as u16, came_up: came_up as Micros, readiness }, address));
+        nodes
+            .push((Listed { node, cell, zone: zone as u16, came_up: came_up as Micros, readiness }, address));
     }
     Ok(List { generation, whole, nodes })
 }
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -194,9 +194,10 @@
         if let Some(open) = self.open.get_mut(&id) {
             open.out = open.out.filter(|out| *out != attempt);
         }
-        let served = ending == Ending::Ok;
-        if let (true, Some(reply), true) = (served, reply, self.open.remove(&id).is_some()) {
-            self.effects.push_back(Effect::Final { id, answer: Answer::Served(reply) });
+        // Guards against losing requests: only a served one ends with its attempt. All others stay open until
+        // the controller says what becomes of them.
+        if let (Ending::Ok, Some(reply)) = (ending, reply) {
+            self.finish(id, Answer::Served(reply));
         }
         let over = !self.open.contains_key(&id);
         let took = now.saturating_sub(flight.sent_at);
--- a/src/front/http.rs
+++ b/src/front/http.rs
@@ -8,7 +8,9 @@
 use actix_codec::{AsyncRead, AsyncWrite, ReadBuf};
 use actix_http::body::BoxBody;
 use actix_http::header::HeaderMap;
-use actix_http::{ConnectionType, HttpMessage, HttpService, KeepAlive, Method, Request, Response, StatusCode};
+use actix_http::{
+    ConnectionType, HttpMessage, HttpService, KeepAlive, Method, Request, Response, StatusCode,
+};
 use actix_service::{Service, ServiceFactory, fn_service};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
@@ -202,7 +204,9 @@
             return refused(0.1);
         };
         match ticket.answer().await {
-            Answer::Served(Reply::Http(body)) => Response::build(StatusCode::OK).body(body).map_into_boxed_body(),
+            Answer::Served(Reply::Http(body)) => {
+                Response::build(StatusCode::OK).body(body).map_into_boxed_body()
+            }
             Answer::Refused(wait) => refused(wait as f64 / 1e6),
             _ => plain(StatusCode::INTERNAL_SERVER_ERROR, "failed"),
         }
