--- /dev/null
+++ b/tests/http.rs
@@ -0,0 +1,121 @@
+//! The program over HTTP: recorded exchanges, bad configuration, and its end.
+
+mod standin;
+
+use serde_json::json;
+use standin::{Discovery, Fault, Program, StandIn, config, get};
+use std::io::{BufReader, Read, Write};
+use std::net::TcpStream;
+use std::thread;
+use std::time::{Duration, Instant};
+
+fn one(work: Duration) -> (StandIn, Program) {
+    let node = StandIn::start("s-1", 3, work, Fault::None);
+    let discovery = Discovery::start(vec![node.entry("ready")]);
+    let program = Program::start(&config(discovery.address), None);
+    thread::sleep(Duration::from_millis(100));
+    (node, program)
+}
+
+/// Plays `tests/recorded/http.txt`: what follows `>` lines is sent, what follows `<` is the status and body.
+#[test]
+fn recorded_exchanges_come_out_as_recorded() {
+    let (node, program) = one(Duration::ZERO);
+    let text = include_str!("recorded/http.txt");
+    let mut played = 0;
+    for exchange in
+        text.split("\n\n").filter(|exchange| exchange.contains("\n> ") || exchange.starts_with("> "))
+    {
+        let part = |mark: &str| -> Vec<String> {
+            exchange.lines().filter_map(|line| line.strip_prefix(mark)).map(str::to_owned).collect()
+        };
+        let (sent, expected) = (part("> "), part("< "));
+        let body = sent.iter().find_map(|line| line.strip_prefix("body ")).unwrap_or_default();
+        let body =
+            body.strip_prefix("x").and_then(|n| n.parse().ok()).map_or(body.to_owned(), |n| "x".repeat(n));
+        let mut request: Vec<String> =
+            sent.iter().filter(|line| !line.starts_with("body ")).cloned().collect();
+        request.push("Host: h".into());
+        if !body.is_empty() {
+            request.push(format!("Content-Length: {}", body.len()));
+        }
+        let (head, answer) = program.ask(&format!("{}\r\n\r\n{body}", request.join("\r\n")));
+        let status = head.lines().next().and_then(|line| line.split(' ').nth(1)).unwrap_or_default();
+        assert_eq!([status, answer.trim_end()].join(" ").trim(), expected.join("\n"), "{exchange}");
+        played += 1;
+    }
+    assert!(played >= 10, "only {played} exchanges");
+    // Method, path, query and id reach the node as they came.
+    assert_eq!(node.runs("GET /read/proof?page=2 HTTP/1.1 9b1f03aa5c7e2d41"), 1);
+    assert_eq!(node.runs("PUT /write/order HTTP/1.1 9b1f03aa5c7e2d42"), 1);
+}
+
+#[test]
+fn bad_configuration_names_the_faulty_key() {
+    let good = config("127.0.0.1:1".parse().expect("an address"));
+    let changed = |pointer: &str, value: serde_json::Value| {
+        let mut config = good.clone();
+        *config.pointer_mut(pointer).expect("a key") = value;
+        config.to_string()
+    };
+    let cases = [
+        ("{".to_owned(), None, "malformed JSON"),
+        (changed("/listen", json!("here")), None, "listen"),
+        (changed("/seed", json!("zz")), None, "seed"),
+        (changed("/limits/sockets", json!(-1)), None, "limits.sockets"),
+        (changed("/settings/classes/1/goalTime", json!("soon")), None, "classes.1.goalTime"),
+        (changed("/settings/limits/maxOpen", json!(0)), None, "limits.maxOpen"),
+        (good.to_string(), Some("ninep.listen=there"), "ninep.listen"),
+        (good.to_string(), Some("nine.listen=127.0.0.1:0"), "nine.listen"),
+        (good.to_string(), Some("boxes.count=1\nboxes.0.id=s"), "boxes.0.address"),
+        (
+            good.to_string(),
+            Some("exports.count=1\nexports.0.volume=a\nexports.0.plan=even\nexports.0.writeClass=read"),
+            "exports.0.writeClass",
+        ),
+    ];
+    for (config, operator, key) in cases {
+        let output = Program::launch(&config, operator).wait_with_output().expect("an end");
+        let said = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert!(!output.status.success() && said.contains(key), "{key}: {said}");
+    }
+}
+
+#[test]
+fn a_client_that_closes_lets_go_of_its_request() {
+    let (node, program) = one(Duration::from_millis(100));
+    // The node serves one at a time; the first bound lets a few out, and the rest wait at the head.
+    let clients: Vec<TcpStream> = (0..30)
+        .map(|_| {
+            let mut stream = TcpStream::connect(program.http).expect("a connection");
+            stream.write_all(get("a0", 1000).as_bytes()).expect("sent");
+            stream
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(50));
+    drop(clients);
+    thread::sleep(Duration::from_millis(1500));
+    assert!(node.runs("GET") < 12, "{} ran for nobody", node.runs("GET"));
+}
+
+#[test]
+fn at_sigterm_it_answers_what_it_has_taken_and_what_still_comes_and_ends() {
+    let (_node, program) = one(Duration::from_millis(100));
+    let mut kept = TcpStream::connect(program.http).expect("a connection");
+    kept.write_all(get("a0", 1000).as_bytes()).expect("sent");
+    thread::sleep(Duration::from_millis(30));
+    program.terminate();
+    let begun = Instant::now();
+    thread::sleep(Duration::from_millis(30));
+    // A new client still is served, and told that its connection closes.
+    let (head, body) = program.ask(&get("a0", 1000));
+    assert!(head.starts_with("HTTP/1.1 200") && body == "read\n", "{head}");
+    assert!(head.to_lowercase().contains("connection: close"), "{head}");
+    let mut answer = String::new();
+    BufReader::new(kept).read_to_string(&mut answer).expect("a whole answer");
+    assert!(answer.starts_with("HTTP/1.1 200") && answer.ends_with("read\n"), "{answer}");
+    let (success, said) = program.end();
+    assert!(success, "{said}");
+    assert!(said.contains("Serving -> Draining") && said.contains("Closing -> Ended"), "{said}");
+    assert!(begun.elapsed() < Duration::from_secs(5));
+}
--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -209,6 +209,9 @@
         while let Some((lines, body)) = read_http(&mut reader) {
             self.work();
             self.count(lines[0].split(' ').next().unwrap_or_default());
+            let id = lines.iter().find(|line| line.to_ascii_lowercase().starts_with("request-id:"));
+            let id = id.and_then(|line| line.split(' ').nth(1)).unwrap_or_default();
+            self.count(&format!("{} {id}", lines[0]));
             let body = if body.is_empty() { b"read\n".to_vec() } else { body };
             let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
             if writer.write_all(&[head.as_bytes(), &body].concat()).is_err() {
