--- a/src/config.rs
+++ b/src/config.rs
@@ -6,6 +6,7 @@
 
 use crate::api::{Micros, Settings};
 use crate::tenants::{Export, Registry};
+use crate::vrrp::{Router, packet};
 use crate::wire::{Pairs, WireError, read_settings};
 use serde_json::Value;
 use std::collections::BTreeMap;
@@ -55,6 +56,32 @@
     pub tenants: Registry,
     /// Boxes that speak 9P.
     pub boxes: Vec<NinepBox>,
+    /// The administration API.
+    pub admin: Option<Admin>,
+    /// The virtual router.
+    pub vrrp: Option<Vrrp>,
+}
+
+/// What the administration API is set up with.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Admin {
+    /// Where it listens; always on loopback.
+    pub listen: SocketAddr,
+    /// What its callers bring.
+    pub token: String,
+}
+
+/// What VRRP is set up with.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Vrrp {
+    /// The virtual router.
+    pub router: Router,
+    /// Where its datagrams come and go.
+    pub listen: SocketAddr,
+    /// The other routers.
+    pub peers: Vec<SocketAddr>,
+    /// The port at the virtual addresses where 9P is served while active.
+    pub port: u16,
 }
 
 /// A box that speaks 9P.
@@ -152,7 +179,9 @@
             let shard = pairs.count(&key("shard"), 0.0, 65_535.0, None).map_err(said)?;
             boxes.push(NinepBox { id, address, shard });
         }
-        self.operator = Operator { ninep, ninep_clients: clients as usize, tenants, boxes };
+        let admin = admin(&pairs)?;
+        let vrrp = vrrp(&pairs)?;
+        self.operator = Operator { ninep, ninep_clients: clients as usize, tenants, boxes, admin, vrrp };
         Ok(())
     }
 
@@ -169,7 +198,22 @@
 
 /// Guards against a misspelt key, which would silently leave a default in force.
 fn known_keys(pairs: &Pairs<'_>) -> Result<(), String> {
-    const PLAIN: [&str; 4] = ["ninep.listen", "ninep.clients", "exports.count", "boxes.count"];
+    const PLAIN: [&str; 14] = [
+        "ninep.listen",
+        "ninep.clients",
+        "exports.count",
+        "boxes.count",
+        "admin.listen",
+        "admin.token",
+        "vrrp.id",
+        "vrrp.priority",
+        "vrrp.interval",
+        "vrrp.preempt",
+        "vrrp.addresses",
+        "vrrp.listen",
+        "vrrp.peers",
+        "vrrp.port",
+    ];
     const BOX: [&str; 3] = ["id", "address", "shard"];
     for key in pairs.keys() {
         let mut parts = key.splitn(3, '.');
@@ -187,6 +231,45 @@
     Ok(())
 }
 
+fn admin(pairs: &Pairs<'_>) -> Result<Option<Admin>, String> {
+    let Some(listen) = address(pairs, "admin.listen")? else { return Ok(None) };
+    if !listen.ip().is_loopback() {
+        return Err(format!("setting admin.listen is not on loopback: {listen}"));
+    }
+    let token = pairs.text("admin.token").ok_or("setting admin.token is missing")?;
+    if token.len() < 16 {
+        return Err("setting admin.token is shorter than 16 characters".into());
+    }
+    Ok(Some(Admin { listen, token: token.to_owned() }))
+}
+
+fn vrrp(pairs: &Pairs<'_>) -> Result<Option<Vrrp>, String> {
+    let Some(listen) = address(pairs, "vrrp.listen")? else { return Ok(None) };
+    let said = |error: WireError| error.0;
+    let interval = pairs.count("vrrp.interval", 10_000.0, 40_950_000.0, Some(1e6)).map_err(said)?;
+    if interval % 10_000 != 0 {
+        return Err(format!("setting vrrp.interval is not in hundredths of a second: {interval}"));
+    }
+    let router = Router {
+        id: pairs.count("vrrp.id", 1.0, 255.0, None).map_err(said)? as u8,
+        priority: pairs.count("vrrp.priority", 1.0, 255.0, Some(100.0)).map_err(said)? as u8,
+        interval: ((interval / 10_000) as u16).min(packet::MOST_INTERVAL),
+        preempt: pairs.flag("vrrp.preempt", true).map_err(said)?,
+        addresses: list(pairs, "vrrp.addresses")?,
+        own: listen,
+    };
+    let peers = list(pairs, "vrrp.peers")?;
+    let port = pairs.count("vrrp.port", 1.0, 65_535.0, None).map_err(said)? as u16;
+    Ok(Some(Vrrp { router, listen, peers, port }))
+}
+
+/// A list of at least one value, joined by commas.
+fn list<T: std::str::FromStr>(pairs: &Pairs<'_>, key: &str) -> Result<Vec<T>, String> {
+    let text = pairs.text(key).ok_or_else(|| format!("setting {key} is missing"))?;
+    let item = |item: &str| item.trim().parse().map_err(|_| format!("setting {key} is malformed: {item}"));
+    text.split(',').map(item).collect()
+}
+
 /// An address on this machine's loopback or network, where the key is there.
 fn address(pairs: &Pairs<'_>, key: &str) -> Result<Option<SocketAddr>, String> {
     let read = |text: &str| text.parse().map_err(|_| format!("setting {key} is not an address: {text}"));
--- a/src/front/ninep.rs
+++ b/src/front/ninep.rs
@@ -53,6 +53,7 @@
 
 struct Session {
     out: mpsc::Sender<Vec<u8>>,
+    shared: bool,
     /// Replies that the client's socket has not taken whole.
     unsent: Cell<usize>,
     msize: Cell<u32>,
@@ -113,8 +114,9 @@
         Rc::new(NinepFront { hub, config, tenants, sessions, next_session, next_handle })
     }
 
-    /// Accepts clients for as long as the future is polled.
-    pub async fn serve(self: Rc<Self>, listener: TcpListener) {
+    /// Accepts clients for as long as the future is polled. `shared` marks those that came to an address
+    /// which may pass to another head.
+    pub async fn serve(self: Rc<Self>, listener: TcpListener, shared: bool) {
         loop {
             let stream = match listener.accept().await {
                 Ok((stream, _)) => stream,
@@ -125,7 +127,7 @@
                 }
             };
             if self.sessions.borrow().len() < self.config.operator.ninep_clients {
-                self.begin(stream);
+                self.begin(stream, shared);
             }
         }
     }
@@ -135,19 +137,27 @@
         self.sessions.borrow().len()
     }
 
-    /// Ends the sessions that have nothing out.
-    pub fn close_idle(&self) {
+    /// Sessions at addresses that may pass to another head.
+    pub fn shared(&self) -> usize {
+        self.sessions.borrow().values().filter(|(session, _)| session.shared).count()
+    }
+
+    /// Ends the sessions that have nothing out, all or only those at shared addresses.
+    pub fn close_idle(&self, all: bool) {
         let sessions = self.sessions.borrow();
-        let idle = |session: &Session| session.tags.borrow().is_empty() && session.unsent.get() == 0;
+        let idle = |session: &Session| {
+            (all || session.shared) && session.tags.borrow().is_empty() && session.unsent.get() == 0
+        };
         sessions.values().filter(|(session, _)| idle(session)).for_each(|(_, task)| task.abort());
     }
 
-    fn begin(self: &Rc<Self>, stream: TcpStream) {
+    fn begin(self: &Rc<Self>, stream: TcpStream, shared: bool) {
         let _ = stream.set_nodelay(true);
         let (reading, mut writing) = stream.into_split();
         let (out, mut queue) = mpsc::channel::<Vec<u8>>(MOST_QUEUED);
         let session = Rc::new(Session {
             out,
+            shared,
             unsent: Cell::new(0),
             msize: Cell::new(MOST_SIZE),
             ready: Cell::new(false),
--- a/src/head.rs
+++ b/src/head.rs
@@ -1,5 +1,6 @@
 //! The program from start to exit, as the named states of one object.
 
+use crate::admin::Api;
 use crate::back::Backs;
 use crate::back::http::{HttpBack, Spans};
 use crate::back::ninep::NinepBack;
@@ -9,11 +10,14 @@
 use crate::front::http::{HttpFront, bind};
 use crate::front::ninep::NinepFront;
 use crate::hub::Hub;
+use crate::tenants::Registry;
+use crate::vrrp::State;
+use crate::vrrp::udp::Carrier;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::AbortHandle;
 
@@ -48,6 +52,8 @@
     hub: Rc<Hub>,
     front: Rc<HttpFront>,
     ninep: Rc<NinepFront>,
+    tenants: Rc<RefCell<Registry>>,
+    vrrp: Option<Rc<Carrier>>,
     accepting: Vec<AbortHandle>,
 }
 
@@ -55,6 +61,8 @@
 struct Listeners {
     http: TcpListener,
     ninep: Option<TcpListener>,
+    admin: Option<TcpListener>,
+    vrrp: Option<UdpSocket>,
 }
 
 impl Listeners {
@@ -70,7 +78,18 @@
             Some(address) => Some(on("ninep.listen", address).await?),
             None => None,
         };
-        Ok(Listeners { http, ninep })
+        let admin = match &config.operator.admin {
+            Some(admin) => Some(on("admin.listen", admin.listen).await?),
+            None => None,
+        };
+        let vrrp = match &config.operator.vrrp {
+            Some(vrrp) => {
+                let bound = UdpSocket::bind(vrrp.listen).await;
+                Some(bound.map_err(|error| format!("vrrp.listen: cannot bind {}: {error}", vrrp.listen))?)
+            }
+            None => None,
+        };
+        Ok(Listeners { http, ninep, admin, vrrp })
     }
 }
 
@@ -88,8 +107,9 @@
         let hub = Hub::new(clock, config.settings.clone(), config.seed, config.most_open, backs);
         let front = HttpFront::new(Rc::clone(&hub), Rc::clone(&config));
         let tenants = Rc::new(RefCell::new(config.operator.tenants.clone()));
-        let ninep = NinepFront::new(Rc::clone(&hub), Rc::clone(&config), tenants);
-        Head { phase: Phase::Starting, config, hub, front, ninep, accepting: Vec::new() }
+        let ninep = NinepFront::new(Rc::clone(&hub), Rc::clone(&config), Rc::clone(&tenants));
+        let (phase, vrrp, accepting) = (Phase::Starting, None, Vec::new());
+        Head { phase, config, hub, front, ninep, tenants, vrrp, accepting }
     }
 
     /// Runs from start to exit.
@@ -115,7 +135,7 @@
     }
 
     fn start(&mut self, listeners: Option<Listeners>) -> Phase {
-        let Some(Listeners { http, ninep }) = listeners else { return Phase::Ended };
+        let Some(Listeners { http, ninep, admin, vrrp }) = listeners else { return Phase::Ended };
         actix_rt::spawn(Rc::clone(&self.hub).run_timers());
         let mut discovery = Discovery::new(Rc::clone(&self.hub), Rc::clone(&self.config));
         discovery.take_known();
@@ -128,9 +148,30 @@
         });
         self.accepting.push(serving.abort_handle());
         if let Some(listener) = ninep {
-            let serving = actix_rt::spawn(Rc::clone(&self.ninep).serve(listener));
+            let serving = actix_rt::spawn(Rc::clone(&self.ninep).serve(listener, false));
             self.accepting.push(serving.abort_handle());
         }
+        if let (Some(socket), Some(vrrp)) = (vrrp, &self.config.operator.vrrp) {
+            let carrier = Carrier::new(vrrp.router.clone(), vrrp.peers.clone(), socket, self.hub.clock());
+            actix_rt::spawn(Rc::clone(&carrier).run());
+            actix_rt::spawn(follow(Rc::clone(&carrier), Rc::clone(&self.ninep), Rc::clone(&self.config)));
+            self.vrrp = Some(carrier);
+        }
+        if let (Some(listener), Some(admin)) = (admin, &self.config.operator.admin) {
+            let api = Rc::new(Api {
+                admin: admin.clone(),
+                config: Rc::clone(&self.config),
+                hub: Rc::clone(&self.hub),
+                tenants: Rc::clone(&self.tenants),
+                ninep: Rc::clone(&self.ninep),
+                vrrp: self.vrrp.clone(),
+            });
+            actix_rt::spawn(async move {
+                if let Err(error) = api.serve(listener).await {
+                    eprintln!("admin: {error}");
+                }
+            });
+        }
         Phase::Serving
     }
 
@@ -156,6 +197,9 @@
 
     async fn drain(&mut self) -> Phase {
         self.front.closing.set(true);
+        if let Some(vrrp) = &self.vrrp {
+            vrrp.stop();
+        }
         let until = tokio::time::Instant::now() + STILL_COMING;
         while tokio::time::Instant::now() < until {
             self.front.connections.close_idle(usize::MAX, RESTED);
@@ -168,9 +212,50 @@
         self.accepting.drain(..).for_each(|accepting| accepting.abort());
         while self.front.connections.count() + self.ninep.count() + self.hub.open() > 0 {
             self.front.connections.close_idle(usize::MAX, RESTED);
-            self.ninep.close_idle();
+            self.ninep.close_idle(true);
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
         Phase::Ended
     }
 }
+
+/// Serves 9P at the virtual addresses for as long as this head's virtual router is active.
+async fn follow(vrrp: Rc<Carrier>, ninep: Rc<NinepFront>, config: Rc<Config>) {
+    let Some(setup) = &config.operator.vrrp else { return };
+    let mut serving: Vec<AbortHandle> = Vec::new();
+    let mut missing: Vec<SocketAddr> = Vec::new();
+    let all = setup.router.addresses.iter().map(|address| SocketAddr::new((*address).into(), setup.port));
+    let all: Vec<SocketAddr> = all.collect();
+    let mut was = State::Initialize;
+    loop {
+        let active = vrrp.state() == State::Active;
+        if active && was != State::Active {
+            missing.clone_from(&all);
+        }
+        if !active {
+            missing.clear();
+            serving.drain(..).for_each(|serving| serving.abort());
+            ninep.close_idle(false);
+        }
+        was = vrrp.state();
+        // The last one to be active may still hold an address for a moment.
+        let mut left = Vec::new();
+        for address in missing.drain(..) {
+            match bind(address).await {
+                Ok(listener) => {
+                    let task = actix_rt::spawn(Rc::clone(&ninep).serve(listener, true));
+                    serving.push(task.abort_handle());
+                }
+                Err(_) => left.push(address),
+            }
+        }
+        missing = left;
+        if !missing.is_empty() || (!active && ninep.shared() > 0) {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        } else if vrrp.stopped() {
+            return;
+        } else {
+            vrrp.changed.notified().await;
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 //!
 #![doc = include_str!("../README.md")]
 
+pub mod admin;
 pub mod api;
 pub mod back;
 pub mod clock;
@@ -19,6 +20,7 @@
 pub mod hub;
 pub mod ninep;
 pub mod tenants;
+pub mod vrrp;
 pub mod wire;
 
 pub use api::{Action, Event, Settings};
--- a/src/tenants.rs
+++ b/src/tenants.rs
@@ -116,6 +116,26 @@
         Ok(())
     }
 
+    /// The tenants by name, each with its exports.
+    pub fn all(&self) -> &BTreeMap<String, BTreeMap<String, Rc<Export>>> {
+        &self.tenants
+    }
+
+    /// Makes sure that there is such a tenant.
+    pub fn open(&mut self, tenant: &str) {
+        self.tenants.entry(tenant.to_owned()).or_default();
+    }
+
+    /// Removes an export; whether there was one.
+    pub fn remove(&mut self, tenant: &str, export: &str) -> bool {
+        self.tenants.get_mut(tenant).is_some_and(|exports| exports.remove(export).is_some())
+    }
+
+    /// Removes a tenant with all its exports; whether there was one.
+    pub fn remove_tenant(&mut self, tenant: &str) -> bool {
+        self.tenants.remove(tenant).is_some()
+    }
+
     /// The export of a name.
     pub fn export(&self, name: &str) -> Option<Rc<Export>> {
         self.tenants.values().find_map(|exports| exports.get(name)).cloned()
--- /dev/null
+++ b/tests/admin.rs
@@ -0,0 +1,61 @@
+//! The administration API, and what 9P clients see of its changes.
+
+mod standin;
+
+use sedgerun::ninep::Message;
+use standin::{Client, Discovery, Fault, Program, StandIn, config, operator};
+use std::thread;
+use std::time::Duration;
+
+const TOKEN: &str = "a-token-for-the-tests";
+
+fn call(program: &Program, token: &str, request: &str, body: &str) -> (u16, serde_json::Value) {
+    let head = format!("{request} HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer {token}\r\n");
+    let request = format!("{head}Content-Length: {}\r\n\r\n{body}", body.len());
+    let (head, body) = Program::ask_at(program.admin.expect("an API"), &request);
+    let status = head.split(' ').nth(1).and_then(|status| status.parse().ok()).expect("a status");
+    (status, serde_json::from_str(&body).unwrap_or_default())
+}
+
+#[test]
+fn tenants_are_listed_added_changed_and_removed() {
+    let node = StandIn::start("s-1", 3, Duration::ZERO, Fault::None);
+    let discovery = Discovery::start(vec![node.entry("ready")]);
+    let conf = format!("{}\nadmin.listen=127.0.0.1:0\nadmin.token={TOKEN}", operator(&[&node]));
+    let program = Program::start(&config(discovery.address), Some(&conf));
+    thread::sleep(Duration::from_millis(100));
+    let api = |request: &str, body: &str| call(&program, TOKEN, request, body);
+
+    assert_eq!(call(&program, "a-token-for-the-tesst", "GET /v1/tenants", "").0, 401);
+    assert_eq!(call(&program, "", "DELETE /v1/tenants/horvat", "").0, 401);
+    let (status, listed) = api("GET /v1/tenants", "");
+    assert_eq!((status, &listed["tenants"][0]["tenant"]), (200, &"horvat".into()));
+    assert_eq!(listed["tenants"][0]["exports"].as_array().map(Vec::len), Some(2));
+
+    let export = r#"{"volume":"b1","plan":"even","shard":3,"readClass":"read","writeClass":"write","largeClass":"bulk"}"#;
+    let (status, made) = api("PUT /v1/tenants/novak/exports/maps", export);
+    assert_eq!((status, &made["exports"][0]["plan"]), (201, &"even".into()));
+    let mut client = Client::attach(program.ninep.expect("9P"), "maps");
+    assert!(matches!(client.walk(1, &["proof"]), Message::Rwalk { .. }));
+
+    let (status, said) = api("PUT /v1/tenants/novak/exports/maps", &export.replace("\"write\"", "\"read\""));
+    assert_eq!(
+        (status, said["error"].as_str()),
+        (400, Some("setting writeClass names a class that may run twice"))
+    );
+    assert_eq!(api("PUT /v1/tenants/novak/exports/maps", &export.replace("even", "odd")).0, 400);
+    assert_eq!(api("PUT /v1/tenants/novak/exports/press", export).0, 409);
+    assert_eq!(api("PUT /v1/tenants/novak", "{}").0, 400);
+    // Nothing of what was turned down has taken hold.
+    assert!(matches!(client.walk(2, &["proof"]), Message::Rwalk { .. }));
+
+    assert_eq!(api("PUT /v1/tenants/novak/exports/maps", &export.replace("b1", "b2")).0, 200);
+    let changed = Message::Rerror { ename: "export maps has changed".into() };
+    assert_eq!(client.walk(3, &["proof"]), changed);
+    assert_eq!(api("DELETE /v1/tenants/novak", "").0, 204);
+    assert_eq!(api("GET /v1/tenants/novak", "").0, 404);
+    assert_eq!(api("DELETE /v1/tenants/novak", "").0, 404);
+    assert_eq!(api("POST /v1/tenants/horvat", "").0, 405);
+    assert_eq!(api("GET /v2", "").0, 404);
+    assert_eq!(api("GET /v1/status", "").1["ninepSessions"], 1);
+}
--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -433,6 +433,7 @@
     child: Child,
     pub http: SocketAddr,
     pub ninep: Option<SocketAddr>,
+    pub admin: Option<SocketAddr>,
     log: BufReader<std::process::ChildStderr>,
 }
 
@@ -492,7 +493,7 @@
     pub fn start(config: &Value, operator: Option<&str>) -> Program {
         let mut child = Program::launch(&config.to_string(), operator);
         let mut log = BufReader::new(child.stderr.take().expect("a log"));
-        let (mut http, mut ninep) = (None, None);
+        let (mut http, mut ninep, mut admin) = (None, None, None);
         let mut line = String::new();
         while !line.contains("Starting -> Serving") {
             line.clear();
@@ -500,13 +501,18 @@
             let address = |key: &str| line.strip_prefix(key).and_then(|text| text.trim().parse().ok());
             http = http.or(address("listen: "));
             ninep = ninep.or(address("ninep.listen: "));
+            admin = admin.or(address("admin.listen: "));
         }
-        Program { child, http: http.expect("a listener"), ninep, log }
+        Program { child, http: http.expect("a listener"), ninep, admin, log }
     }
 
     /// Sends a request over HTTP on a connection of its own, and reads the answer.
     pub fn ask(&self, request: &str) -> (String, String) {
-        let mut stream = TcpStream::connect(self.http).expect("a connection");
+        Program::ask_at(self.http, request)
+    }
+
+    pub fn ask_at(address: SocketAddr, request: &str) -> (String, String) {
+        let mut stream = TcpStream::connect(address).expect("a connection");
         stream.set_read_timeout(Some(Duration::from_secs(20))).expect("a timeout");
         stream.write_all(request.as_bytes()).expect("sent");
         let (lines, body) = read_http(&mut BufReader::new(stream)).expect("an answer");
