Record 9P exchanges, test descriptors and malformed lists, take tags back at a new version

Found by reading: a Tversion aborted the old session's operations, but their tags were given back only when the tasks were next run, so a tag used again at once ended the connection; NinepFront::read waits for them now (a_new_version_takes_...). A client stuck in the middle of a request kept the program from ending until the head's time-out; it counts as idle after 1 s. After a malformed list the whole one is asked for.

--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -16,6 +16,8 @@
 const WAIT: Duration = Duration::from_secs(8);
 /// Time past the wait after which a call counts as lost: what discovery tells counts 2 s after it.
 const LOST: Duration = Duration::from_millis(1500);
+/// What an error of a list that came but cannot be read begins with.
+const MALFORMED: &str = "malformed list";
 /// The largest list that is read.
 const MOST_LIST: usize = 1 << 20;
 
@@ -107,6 +109,10 @@
                     }
                     Err(what) => {
                         eprintln!("discovery: {what}");
+                        // Guards against asking for the same malformed changes for ever.
+                        if what.starts_with(MALFORMED) {
+                            self.generation = None;
+                        }
                         self.hub.list(Scope::Failed, Vec::new());
                         break;
                     }
@@ -133,9 +139,9 @@
             response.body().limit(MOST_LIST).await.map_err(|error| format!("answer broke off: {error}"))
         };
         let body = tokio::time::timeout(wait + LOST, exchange).await.map_err(|_| "no answer in time")??;
-        let json = serde_json::from_slice(&body).map_err(|error| format!("malformed list: {error}"))?;
+        let json = serde_json::from_slice(&body).map_err(|error| format!("{MALFORMED}: {error}"))?;
         read_list(&json, &self.config.zones, |id| self.number(id))
-            .map_err(|what| format!("malformed list: {what}"))
+            .map_err(|what| format!("{MALFORMED}: {what}"))
     }
 
     fn number(&self, id: &str) -> NodeId {
--- a/src/front/http.rs
+++ b/src/front/http.rs
@@ -32,6 +32,9 @@
 /// close that crosses a request costs it a new connection.
 const IDLE_TIME: Duration = Duration::from_secs(120);
 
+/// A request of which nothing has come for so long has stalled.
+const STALLED: Duration = Duration::from_secs(1);
+
 /// A client connection as its owner sees it.
 #[derive(Debug)]
 struct State {
@@ -95,8 +98,10 @@
     /// idle first.
     pub fn close_idle(&self, most: usize, idle: Duration) {
         let open = self.open.borrow();
+        // Guards against waiting for a client that has stopped in the middle of a request.
         let resting = |state: &State| {
-            !state.busy.get() && !state.buffered.get() && state.touched.get().elapsed() >= idle
+            let quiet = state.touched.get().elapsed();
+            !state.busy.get() && quiet >= if state.buffered.get() { idle.max(STALLED) } else { idle }
         };
         let mut idle: Vec<_> = open.values().filter(|(state, _)| resting(state)).collect();
         idle.sort_by_key(|(state, _)| state.touched.get());
--- a/src/front/ninep.rs
+++ b/src/front/ninep.rs
@@ -208,6 +208,10 @@
             };
             if let Message::Tversion { msize, version } = message {
                 let Some(reply) = self.version(session, msize, &version) else { return };
+                // Guards against taking a tag of the new session for one that the old one still has out.
+                while !session.tags.borrow().is_empty() {
+                    session.settled.notified().await;
+                }
                 if !self.reply(session, tag, reply).await {
                     return;
                 }
--- a/tests/ninep.rs
+++ b/tests/ninep.rs
@@ -168,6 +168,48 @@
     assert_eq!(ename(client.read(7)), "unknown fid");
 }
 
+/// Plays `tests/recorded/ninep.txt`: bytes to the program after `>`, bytes from it after `<`.
+#[test]
+fn recorded_exchanges_come_out_as_recorded() {
+    let (_node, program) = one(Fault::None);
+    let mut stream = TcpStream::connect(program.ninep.expect("9P")).expect("a connection");
+    stream.set_read_timeout(Some(Duration::from_secs(20))).expect("a timeout");
+    let mut played = 0;
+    for line in include_str!("recorded/ninep.txt").lines() {
+        let Some((mark, hex)) = line.split_once(' ').filter(|(mark, _)| matches!(*mark, ">" | "<")) else {
+            continue;
+        };
+        let digits: Vec<u8> = hex.bytes().filter(|byte| !byte.is_ascii_whitespace()).collect();
+        let digits = digits.chunks(2).map(|pair| std::str::from_utf8(pair).expect("digits"));
+        let bytes: Vec<u8> = digits.map(|pair| u8::from_str_radix(pair, 16).expect("hexadecimal")).collect();
+        if mark == ">" {
+            stream.write_all(&bytes).expect("sent");
+        } else {
+            let mut came = vec![0; bytes.len()];
+            stream.read_exact(&mut came).expect("a reply");
+            assert_eq!(came, bytes, "{line}");
+            played += 1;
+        }
+    }
+    assert!(played >= 10, "only {played} replies");
+}
+
+#[test]
+fn a_new_version_takes_the_old_sessions_tags_and_fids_back() {
+    let (_node, program) = one(Fault::SilentReads);
+    let mut client = Client::attach(program.ninep.expect("9P"), "press");
+    client.walk(1, &["proof"]);
+    client.open(1, 0);
+    // One write for all, so that the program has the next use of tag 1 at hand as it takes the old one back.
+    let read = Message::Tread { fid: 1, offset: 0, count: 10 }.encode(1);
+    let version = Message::Tversion { msize: 8192, version: VERSION.into() }.encode(NO_TAG);
+    let stat = Message::Tstat { fid: 1 }.encode(1);
+    client.stream.write_all(&[read, version, stat].concat()).expect("sent");
+    let (tag, reply) = receive(&mut client.stream).expect("a reply");
+    assert!(matches!(reply, Message::Rversion { msize: 8192, .. }) && tag == NO_TAG, "{reply:?}");
+    assert_eq!(receive(&mut client.stream), Some((1, Message::Rerror { ename: "unknown fid".into() })));
+}
+
 #[test]
 fn volumes_share_a_box_evenly_across_9p_and_http() {
     let node = StandIn::start("s-1", 3, Duration::from_millis(8), Fault::None);
