Catch SIGHUP: read the configuration anew and move the watch to its discovery

Checked: head.rs caught SIGTERM only (run, first line), and main.rs read the files before that; nothing else ended them (no panic, 1 of 48 MB). Ruled out: memory, descriptors, the list. Now one task heeds both signals, caught before anything is read. SIGHUP reads the files through config; a bad one is logged and nothing changes. discovery drops the waiting call, asks the new address for the whole list and, for the 4 s after which that counts as told, calls again every 200 ms without the controller's back-off.

--- a/src/config.rs
+++ b/src/config.rs
@@ -12,6 +12,33 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+/// The files that the configuration is read from, at the start and again on SIGHUP.
+#[derive(Clone, Debug)]
+pub struct Sources {
+    config: String,
+    operator: Option<String>,
+}
+
+impl Sources {
+    /// The files that `LB_CONFIG` and `LB_OPERATOR` name.
+    pub fn from_env() -> Result<Sources, String> {
+        let config = std::env::var("LB_CONFIG").map_err(|_| "LB_CONFIG is missing")?;
+        Ok(Sources { config, operator: std::env::var("LB_OPERATOR").ok() })
+    }
+
+    /// Reads and checks them.
+    pub fn read(&self) -> Result<Config, String> {
+        let text = |key: &str, path: &str| {
+            std::fs::read_to_string(path).map_err(|error| format!("{key}: {path}: {error}"))
+        };
+        let mut config = Config::from_json(&text("LB_CONFIG", &self.config)?)?;
+        if let Some(path) = &self.operator {
+            config.add_operator(&text("LB_OPERATOR", path)?)?;
+        }
+        Ok(config)
+    }
+}
+
 /// What the program works with.
 #[derive(Debug)]
 pub struct Config {
@@ -46,7 +73,7 @@
 }
 
 /// What the operator's file sets up; nothing of it is there on the platform.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, PartialEq)]
 pub struct Operator {
     /// Where 9P clients connect.
     pub ninep: Option<SocketAddr>,
@@ -185,6 +212,23 @@
         Ok(())
     }
 
+    /// The keys in which another configuration differs that stay as they are until the next start.
+    pub fn fixed(&self, other: &Config) -> Vec<&'static str> {
+        let same = [
+            ("name", self.name == other.name),
+            ("listen", self.listen == other.listen),
+            ("limits.sockets", self.sockets == other.sockets),
+            ("limits.connIdle", self.idle == other.idle),
+            ("limits.dialTimeout", self.dial == other.dial),
+            ("limits.maxOpen", self.most_open == other.most_open),
+            ("classes", self.classes == other.classes),
+            ("plans", self.plans == other.plans),
+            ("settings", self.settings == other.settings),
+            ("LB_OPERATOR", self.operator == other.operator),
+        ];
+        same.iter().filter(|(_, same)| !same).map(|(key, _)| *key).collect()
+    }
+
     /// The position of a class.
     pub fn class(&self, name: &str) -> Option<usize> {
         self.classes.iter().position(|class| class == name)
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -10,12 +10,17 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
+use tokio::sync::watch;
 
 /// How long a watch may wait for news.
 const WAIT: Duration = Duration::from_secs(8);
 /// Time past the wait after which a call counts as lost: what discovery tells counts 2 s after it.
 const LOST: Duration = Duration::from_millis(1500);
+/// What a new discovery tells counts this long after the program was sent to it.
+const MOVE: Duration = Duration::from_secs(4);
+/// Wait between calls to a new discovery that does not answer yet.
+const MOVE_WAIT: Duration = Duration::from_millis(200);
 /// What an error of a list that came but cannot be read begins with.
 const MALFORMED: &str = "malformed list";
 /// The largest list that is read.
@@ -67,11 +72,18 @@
     Ok(List { generation, whole, nodes })
 }
 
+fn fresh_client() -> Client {
+    client(Spans { dial: Duration::from_secs(1), idle: Duration::from_secs(60) })
+}
+
 /// Watches discovery for one program.
 pub struct Discovery {
     hub: Rc<Hub>,
     config: Rc<Config>,
     client: Client,
+    address: SocketAddr,
+    /// When it was sent to this address, until something has come from there.
+    moved: Option<Instant>,
     generation: Option<u64>,
     /// Nodes that discovery has ever told of: of those it alone knows what has become of them.
     told: BTreeSet<NodeId>,
@@ -80,9 +92,16 @@
 impl Discovery {
     /// A watch that tells this hub.
     pub fn new(hub: Rc<Hub>, config: Rc<Config>) -> Discovery {
-        let dial = Duration::from_secs(1);
-        let client = client(Spans { dial, idle: Duration::from_secs(60) });
-        Discovery { hub, config, client, generation: None, told: BTreeSet::new() }
+        let address = config.discovery;
+        let (client, generation, told) = (fresh_client(), None, BTreeSet::new());
+        Discovery { hub, config, client, address, moved: None, generation, told }
+    }
+
+    /// Goes to another discovery: its versions are its own, so that the whole list is asked for. The old list
+    /// stands until that one is there. Connections to the old address close.
+    fn go(&mut self, address: SocketAddr) {
+        (self.address, self.client) = (address, fresh_client());
+        (self.generation, self.moved) = (None, Some(Instant::now()));
     }
 
     /// Takes the list that the program was started with.
@@ -97,13 +116,26 @@
         self.hub.list(Scope::Cached, self.untold());
     }
 
-    /// Watches whenever the controller asks for it, until a call fails.
-    pub async fn run(mut self) {
+    /// Watches whenever the controller asks for it, until a call fails; and at once at a new address.
+    pub async fn run(mut self, mut at: watch::Receiver<SocketAddr>) {
         loop {
-            self.hub.wants_watch().await;
+            tokio::select! {
+                () = self.hub.wants_watch() => {}
+                Ok(()) = at.changed() => self.go(*at.borrow_and_update()),
+            }
             loop {
-                match self.call().await {
+                let called = tokio::select! {
+                    biased;
+                    // The call that waits is dropped: what the old discovery would say is of no use.
+                    Ok(()) = at.changed() => {
+                        self.go(*at.borrow_and_update());
+                        continue;
+                    }
+                    called = self.call() => called,
+                };
+                match called {
                     Ok(list) => {
+                        self.moved = None;
                         let scope = if list.whole { Scope::Full } else { Scope::Delta };
                         self.tell(scope, list);
                     }
@@ -113,6 +145,12 @@
                         if what.starts_with(MALFORMED) {
                             self.generation = None;
                         }
+                        // Guards against a back-off that outlasts the time in which a new discovery counts
+                        // as having told.
+                        if self.moved.is_some_and(|moved| moved.elapsed() < MOVE) {
+                            tokio::time::sleep(MOVE_WAIT).await;
+                            continue;
+                        }
                         self.hub.list(Scope::Failed, Vec::new());
                         break;
                     }
@@ -122,7 +160,7 @@
     }
 
     async fn call(&self) -> Result<List, String> {
-        let address = self.config.discovery;
+        let address = self.address;
         let (url, wait) = match self.generation {
             Some(since) => {
                 let wait = WAIT.as_millis();
--- a/src/head.rs
+++ b/src/head.rs
@@ -5,7 +5,7 @@
 use crate::back::http::{HttpBack, Spans};
 use crate::back::ninep::NinepBack;
 use crate::clock::Clock;
-use crate::config::Config;
+use crate::config::{Config, Sources};
 use crate::discovery::Discovery;
 use crate::front::http::{HttpFront, bind};
 use crate::front::ninep::NinepFront;
@@ -18,7 +18,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::{Notify, watch};
 use tokio::task::AbortHandle;
 
 /// How long clients may still connect after SIGTERM, and a little more.
@@ -45,10 +46,60 @@
     Ended,
 }
 
+/// The signals that the program heeds. Caught once, they never end it by themselves.
+pub struct Signals {
+    hangup: Signal,
+    terminate: Signal,
+}
+
+impl Signals {
+    /// Catches them from now on.
+    pub fn catch() -> Result<Signals, String> {
+        let catch = |kind| signal(kind).map_err(|error| format!("no signals: {error}"));
+        Ok(Signals { hangup: catch(SignalKind::hangup())?, terminate: catch(SignalKind::terminate())? })
+    }
+
+    /// The one task for signals, from start to exit: a new configuration may come while the head drains, and
+    /// its end while a new configuration is read.
+    async fn heed(mut self, reload: Reload, terminated: Rc<Notify>) {
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => terminated.notify_one(),
+                _ = self.hangup.recv() => reload.run(),
+            }
+        }
+    }
+}
+
+/// What SIGHUP brings about: the configuration is read anew, and discovery is where it says.
+struct Reload {
+    sources: Sources,
+    config: Rc<Config>,
+    discovery: watch::Sender<SocketAddr>,
+}
+
+impl Reload {
+    fn run(&self) {
+        let fresh = match self.sources.read() {
+            Ok(fresh) => fresh,
+            // Guards against a file that cannot be used: what is in force stands.
+            Err(what) => return eprintln!("SIGHUP: {what}; nothing is changed"),
+        };
+        for key in self.config.fixed(&fresh) {
+            eprintln!("SIGHUP: {key} differs; the next start takes it over");
+        }
+        let moved = self
+            .discovery
+            .send_if_modified(|address| std::mem::replace(address, fresh.discovery) != fresh.discovery);
+        eprintln!("SIGHUP: discovery is {} {}", if moved { "now" } else { "still" }, fresh.discovery);
+    }
+}
+
 /// One head.
 pub struct Head {
     phase: Phase,
     config: Rc<Config>,
+    sources: Sources,
     hub: Rc<Hub>,
     front: Rc<HttpFront>,
     ninep: Rc<NinepFront>,
@@ -95,7 +146,7 @@
 
 impl Head {
     /// A head that has not begun to serve.
-    pub fn new(config: Config) -> Head {
+    pub fn new(config: Config, sources: Sources) -> Head {
         let config = Rc::new(config);
         let clock = Clock::start();
         let spans =
@@ -109,19 +160,21 @@
         let tenants = Rc::new(RefCell::new(config.operator.tenants.clone()));
         let ninep = NinepFront::new(Rc::clone(&hub), Rc::clone(&config), Rc::clone(&tenants));
         let (phase, vrrp, accepting) = (Phase::Starting, None, Vec::new());
-        Head { phase, config, hub, front, ninep, tenants, vrrp, accepting }
+        Head { phase, config, sources, hub, front, ninep, tenants, vrrp, accepting }
     }
 
     /// Runs from start to exit.
-    pub async fn run(mut self) -> Result<(), String> {
-        let mut terminated =
-            signal(SignalKind::terminate()).map_err(|error| format!("no signals: {error}"))?;
+    pub async fn run(mut self, signals: Signals) -> Result<(), String> {
+        let terminated = Rc::new(Notify::new());
+        let (discovery, at) = watch::channel(self.config.discovery);
+        let reload = Reload { sources: self.sources.clone(), config: Rc::clone(&self.config), discovery };
+        actix_rt::spawn(signals.heed(reload, Rc::clone(&terminated)));
         let mut listeners = Some(Listeners::bind(&self.config).await?);
         while self.phase != Phase::Ended {
             let next = match self.phase {
-                Phase::Starting => self.start(listeners.take()),
+                Phase::Starting => self.start(listeners.take(), at.clone()),
                 Phase::Serving => {
-                    self.serve(&mut terminated).await;
+                    self.serve(&terminated).await;
                     Phase::Draining
                 }
                 Phase::Draining => self.drain().await,
@@ -134,12 +187,12 @@
         Ok(())
     }
 
-    fn start(&mut self, listeners: Option<Listeners>) -> Phase {
+    fn start(&mut self, listeners: Option<Listeners>, at: watch::Receiver<SocketAddr>) -> Phase {
         let Some(Listeners { http, ninep, admin, vrrp }) = listeners else { return Phase::Ended };
         actix_rt::spawn(Rc::clone(&self.hub).run_timers());
         let mut discovery = Discovery::new(Rc::clone(&self.hub), Rc::clone(&self.config));
         discovery.take_known();
-        actix_rt::spawn(discovery.run());
+        actix_rt::spawn(discovery.run(at));
         let serve = Rc::clone(&self.front).serve(http);
         let serving = actix_rt::spawn(async move {
             if let Err(error) = serve.await {
@@ -175,10 +228,10 @@
         Phase::Serving
     }
 
-    async fn serve(&mut self, terminated: &mut tokio::signal::unix::Signal) {
+    async fn serve(&mut self, terminated: &Notify) {
         loop {
             tokio::select! {
-                _ = terminated.recv() => return,
+                () = terminated.notified() => return,
                 () = tokio::time::sleep(BUDGET_LOOK) => self.keep_budget(),
             }
         }
--- a/src/tenants.rs
+++ b/src/tenants.rs
@@ -100,7 +100,7 @@
 }
 
 /// The tenants and their exports.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Registry {
     tenants: BTreeMap<String, BTreeMap<String, Rc<Export>>>,
 }
--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -7,6 +7,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
@@ -434,6 +435,7 @@
     pub http: SocketAddr,
     pub ninep: Option<SocketAddr>,
     pub admin: Option<SocketAddr>,
+    config: PathBuf,
     log: BufReader<std::process::ChildStderr>,
 }
 
@@ -476,22 +478,27 @@
 impl Program {
     /// Runs it with these files; what it says and its success if it ends at once.
     pub fn launch(config: &str, operator: Option<&str>) -> Child {
+        Program::launch_at(config, operator).0
+    }
+
+    /// The same, and the path of its configuration.
+    fn launch_at(config: &str, operator: Option<&str>) -> (Child, PathBuf) {
         let number = NUMBER.fetch_add(1, Ordering::SeqCst);
         let place = std::env::temp_dir().join(format!("sedgerun-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&place).expect("a folder");
         let (config_file, operator_file) = (place.join("config.json"), place.join("operator.conf"));
         std::fs::write(&config_file, config).expect("a file");
         let mut command = Command::new(env!("CARGO_BIN_EXE_sedgerun"));
-        command.env("LB_CONFIG", config_file).env_remove("LB_OPERATOR").stderr(Stdio::piped());
+        command.env("LB_CONFIG", &config_file).env_remove("LB_OPERATOR").stderr(Stdio::piped());
         if let Some(operator) = operator {
             std::fs::write(&operator_file, operator).expect("a file");
             command.env("LB_OPERATOR", operator_file);
         }
-        command.spawn().expect("the program")
+        (command.spawn().expect("the program"), config_file)
     }
 
     pub fn start(config: &Value, operator: Option<&str>) -> Program {
-        let mut child = Program::launch(&config.to_string(), operator);
+        let (mut child, config) = Program::launch_at(&config.to_string(), operator);
         let mut log = BufReader::new(child.stderr.take().expect("a log"));
         let (mut http, mut ninep, mut admin) = (None, None, None);
         let mut line = String::new();
@@ -503,7 +510,7 @@
             ninep = ninep.or(address("ninep.listen: "));
             admin = admin.or(address("admin.listen: "));
         }
-        Program { child, http: http.expect("a listener"), ninep, admin, log }
+        Program { child, http: http.expect("a listener"), ninep, admin, config, log }
     }
 
     /// Sends a request over HTTP on a connection of its own, and reads the answer.
@@ -520,7 +527,17 @@
     }
 
     pub fn terminate(&self) {
-        let done = Command::new("kill").arg("-TERM").arg(self.child.id().to_string()).status();
+        self.signal("-TERM");
+    }
+
+    /// Replaces its configuration and sends SIGHUP.
+    pub fn reload(&self, config: &str) {
+        std::fs::write(&self.config, config).expect("a file");
+        self.signal("-HUP");
+    }
+
+    fn signal(&self, name: &str) {
+        let done = Command::new("kill").arg(name).arg(self.child.id().to_string()).status();
         assert!(done.expect("kill").success());
     }
 
