Read answers of boxes to their end on the connection, and hand on none but whole ones

Probe (a box that says 50 bytes, sends 6 and closes): awc's PlStream (h1proto.rs, poll_next, None => Ready(None)) takes the end of the connection for the end of the body. By reading and by probes: a 1xx is taken for the answer and frees the connection under the real one; a 200 without length is an empty body; bytes behind an answer stay in a dropped buffer while the connection goes back to the pool. Now back::answer reads each answer with actix-http's own codec on the connection, checks it, and frames it anew for awc. One pool an address, so that the connections of a box that is no more can go with it.

--- /dev/null
+++ b/src/back/answer.rs
@@ -0,0 +1,221 @@
+//! What a node's answer may look like. awc takes the first head that comes for the answer, be it a 1xx; it
+//! takes a body that the connection's end cuts off, or that has no length, for a whole one; and it puts a
+//! connection with bytes behind the answer back among the idle ones. So an answer is read to its end here,
+//! on the connection itself, and awc is given the whole of it, framed anew, or an error.
+
+use actix_codec::{AsyncRead, AsyncWrite, Decoder, ReadBuf};
+use actix_http::ResponseHead;
+use actix_http::h1::{ClientCodec, ClientPayloadCodec, MessageType};
+use actix_http::header;
+use actix_rt::net::{ActixStream, Ready, TcpStream};
+use bytes::{Buf, BytesMut};
+use std::fmt::Write;
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+/// The largest head of an answer.
+const MOST_HEAD: usize = 16 * 1024;
+/// The most heads that may come in front of an answer.
+const MOST_INTERIM: usize = 16;
+/// What is read at once.
+const READ: usize = 4 * 1024;
+/// The headers of an answer that are read.
+pub const READ_HEADERS: [&str; 3] = ["Not-Started", "X-Iops-Used", "X-Rho"];
+
+/// Reads one answer from the bytes of a connection.
+#[derive(Debug)]
+struct Reader {
+    most_body: usize,
+    interim: usize,
+    head: Option<ResponseHead>,
+    stage: Stage,
+}
+
+enum Stage {
+    Head(ClientCodec),
+    Body(ClientPayloadCodec, BytesMut),
+}
+
+impl std::fmt::Debug for Stage {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(if matches!(self, Stage::Head(_)) { "Head" } else { "Body" })
+    }
+}
+
+/// An answer that cannot be used; it has run, and the connection is of no further use.
+fn spoilt(what: &'static str) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, what)
+}
+
+impl Reader {
+    fn new(most_body: usize) -> Reader {
+        Reader { most_body, interim: 0, head: None, stage: Stage::Head(ClientCodec::default()) }
+    }
+
+    /// Takes what has come; the head and the body once they are whole.
+    fn take(&mut self, inbox: &mut BytesMut) -> io::Result<Option<(ResponseHead, BytesMut)>> {
+        loop {
+            match &mut self.stage {
+                Stage::Head(codec) => {
+                    let head = codec.decode(inbox).map_err(|_| spoilt("a head that cannot be read"))?;
+                    let Some(head) = head else {
+                        return if inbox.len() > MOST_HEAD {
+                            Err(spoilt("an endless head"))
+                        } else {
+                            Ok(None)
+                        };
+                    };
+                    if head.status.is_informational() {
+                        self.interim += 1;
+                        if head.status.as_u16() == 101 || self.interim > MOST_INTERIM {
+                            return Err(spoilt("not an answer"));
+                        }
+                        self.stage = Stage::Head(ClientCodec::default());
+                        continue;
+                    }
+                    let length = head.headers.get(header::CONTENT_LENGTH);
+                    let chunked = head.headers.contains_key(header::TRANSFER_ENCODING);
+                    let length = length.and_then(|value| value.to_str().ok()?.trim().parse::<u64>().ok());
+                    // Guards against bodies that only the connection's end would delimit, and against two
+                    // lengths that differ: neither can be told from a part.
+                    if length.is_some() == chunked {
+                        return Err(spoilt("a body without one length"));
+                    }
+                    if length.is_some_and(|length| length > self.most_body as u64) {
+                        return Err(spoilt("a body over the limit"));
+                    }
+                    if codec.message_type() == MessageType::None {
+                        return Ok(Some((head, BytesMut::new())));
+                    }
+                    let codec = std::mem::take(codec).into_payload_codec();
+                    self.head = Some(head);
+                    self.stage = Stage::Body(codec, BytesMut::new());
+                }
+                Stage::Body(codec, body) => {
+                    match codec.decode(inbox).map_err(|_| spoilt("a body that cannot be read"))? {
+                        None => return Ok(None),
+                        Some(Some(chunk)) => {
+                            body.extend_from_slice(&chunk);
+                            if body.len() > self.most_body {
+                                return Err(spoilt("a body over the limit"));
+                            }
+                        }
+                        Some(None) => {
+                            let body = std::mem::take(body);
+                            return Ok(self.head.take().map(|head| (head, body)));
+                        }
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// A connection to a node on which answers come whole or not at all.
+#[derive(Debug)]
+pub struct Whole {
+    stream: TcpStream,
+    most_body: usize,
+    /// The answer that is awaited, if one is.
+    reader: Option<Reader>,
+    inbox: BytesMut,
+    /// What is left to hand on of an answer.
+    ready: BytesMut,
+}
+
+impl Whole {
+    /// Reads answers with bodies of at most so many bytes.
+    pub fn new(stream: TcpStream, most_body: usize) -> Whole {
+        Whole { stream, most_body, reader: None, inbox: BytesMut::new(), ready: BytesMut::new() }
+    }
+
+    /// Reads what is there; 0 at the connection's end.
+    fn fill(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
+        let mut room = [0; READ];
+        let mut buf = ReadBuf::new(&mut room);
+        match Pin::new(&mut self.stream).poll_read(cx, &mut buf) {
+            Poll::Pending => Poll::Pending,
+            Poll::Ready(Err(error)) => Poll::Ready(Err(error)),
+            Poll::Ready(Ok(())) => {
+                self.inbox.extend_from_slice(buf.filled());
+                Poll::Ready(Ok(buf.filled().len()))
+            }
+        }
+    }
+
+    /// Frames an answer anew. One with anything behind it closes its connection: what is there is no
+    /// beginning of the next.
+    fn frame(&mut self, head: &ResponseHead, body: &[u8], last: bool) {
+        let mut text = format!("HTTP/1.1 {}\r\n", head.status.as_u16());
+        for name in READ_HEADERS {
+            let mut values = head.headers.get_all(name);
+            if let (Some(value), None) = (values.next(), values.next())
+                && let Ok(value) = value.to_str()
+            {
+                let _ = write!(text, "{name}: {value}\r\n");
+            }
+        }
+        let close = if last { "Connection: close\r\n" } else { "" };
+        let _ = write!(text, "{close}Content-Length: {}\r\n\r\n", body.len());
+        self.ready.extend_from_slice(text.as_bytes());
+        self.ready.extend_from_slice(body);
+    }
+}
+
+impl AsyncRead for Whole {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        while let (true, Some(reader)) = (this.ready.is_empty(), &mut this.reader) {
+            if let Some((head, body)) = reader.take(&mut this.inbox)? {
+                let more = !this.inbox.is_empty() || this.fill(cx).is_ready();
+                this.frame(&head, &body, more || !head.keep_alive());
+                this.reader = None;
+                break;
+            }
+            match this.fill(cx) {
+                Poll::Pending => return Poll::Pending,
+                Poll::Ready(Ok(0)) => return Poll::Ready(Err(io::ErrorKind::UnexpectedEof.into())),
+                Poll::Ready(result) => result?,
+            };
+        }
+        if this.ready.is_empty() {
+            // Nobody asked: whatever comes is passed on as it is, and tells awc to drop the connection.
+            return Pin::new(&mut this.stream).poll_read(cx, buf);
+        }
+        let part = this.ready.len().min(buf.remaining());
+        buf.put_slice(&this.ready[..part]);
+        this.ready.advance(part);
+        if this.ready.is_empty() {
+            this.ready = BytesMut::new();
+            this.inbox = BytesMut::new();
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for Whole {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let this = self.get_mut();
+        this.reader.get_or_insert_with(|| Reader::new(this.most_body));
+        Pin::new(&mut this.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
+impl ActixStream for Whole {
+    fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        ActixStream::poll_read_ready(&self.stream, cx)
+    }
+
+    fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        ActixStream::poll_write_ready(&self.stream, cx)
+    }
+}
--- a/src/back/http.rs
+++ b/src/back/http.rs
@@ -1,6 +1,7 @@
 //! Attempts over HTTP/1.1, with awc.
 
 use super::Reply;
+use super::answer::Whole;
 use crate::api::{Ending, Micros};
 use crate::exchange::Ended;
 use actix_http::{Method, StatusCode, Uri};
@@ -12,12 +13,16 @@
 use awc::{Client, Connector};
 use bytes::Bytes;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 /// The largest body of a message.
 pub const MOST_BODY: usize = 64 * 1024;
 
+/// The largest figure that a node can mean: what the simulator's wire has room for.
+const MOST_FIGURE: f64 = 65_535.0;
+
 /// A client's request, to be passed on unchanged.
 #[derive(Debug)]
 pub struct HttpJob {
@@ -33,29 +38,35 @@
     pub body: Bytes,
 }
 
-/// Spans that the client works with.
+/// Limits that a client works with.
 #[derive(Clone, Copy, Debug)]
 pub struct Spans {
     /// A connection not made by then is given up.
     pub dial: Duration,
     /// Nodes close connections that stood idle for so long.
     pub idle: Duration,
+    /// The largest body of an answer.
+    pub most_body: usize,
 }
 
-/// The HTTP client of the program.
+/// The HTTP client of the program: one with a pool of connections for each address, so that those to a node
+/// that is no more are closed with it.
 pub struct HttpBack {
-    client: RefCell<Client>,
+    clients: RefCell<BTreeMap<SocketAddr, Client>>,
     spans: Spans,
 }
 
 /// A client that queues nothing, follows nothing, and has no clock but the caller's.
 pub fn client(spans: Spans) -> Client {
+    let most_body = spans.most_body;
     // Guards against Nagle's algorithm, which awc leaves on: the last part of a large write would wait for
     // an acknowledgement that the node delays.
-    let dial = TcpConnector::new(Resolver::default()).service().map(|made: Connection<Uri, TcpStream>| {
-        let _ = made.io_ref().set_nodelay(true);
-        made
-    });
+    let dial =
+        TcpConnector::new(Resolver::default()).service().map(move |made: Connection<Uri, TcpStream>| {
+            let _ = made.io_ref().set_nodelay(true);
+            let (stream, uri) = made.into_parts();
+            Connection::new(uri, Whole::new(stream, most_body))
+        });
     let connector = Connector::new()
         .connector(dial)
         .limit(0) // awc holds 100 connections by default, and queues what comes past them
@@ -68,17 +79,22 @@
 impl HttpBack {
     /// A client with these spans.
     pub fn new(spans: Spans) -> HttpBack {
-        HttpBack { client: RefCell::new(client(spans)), spans }
+        HttpBack { clients: RefCell::default(), spans }
     }
 
     /// Closes all idle connections. Those in use stay until their attempts end.
     pub fn shed_idle(&self) {
-        *self.client.borrow_mut() = client(self.spans);
+        self.clients.borrow_mut().clear();
+    }
+
+    /// Closes the idle connections to an address, and those in use once their attempts end.
+    pub fn forget(&self, address: SocketAddr) {
+        self.clients.borrow_mut().remove(&address);
     }
 
     /// Makes one attempt. Dropping the future closes its connection.
     pub async fn attempt(&self, address: SocketAddr, left: Micros, job: &HttpJob) -> Ended<Reply> {
-        let client = self.client.borrow().clone();
+        let client = self.clients.borrow_mut().entry(address).or_insert_with(|| client(self.spans)).clone();
         let url = format!("http://{address}{}", job.target);
         let mut request = client
             .request(job.method.clone(), url)
@@ -97,7 +113,8 @@
             Ok(response) => response,
             Err(error) => return Ended::bare(ending(&error)),
         };
-        let (status, not_started) = (response.status(), response.headers().contains_key("Not-Started"));
+        let status = response.status();
+        let not_started = response.headers().get("Not-Started").is_some_and(|value| value == "1");
         let used = figure(response.headers(), "X-Iops-Used").map(|percent| percent / 100.0);
         let elsewhere = figure(response.headers(), "X-Rho").unwrap_or(0.0);
         let body = response.body().limit(MOST_BODY).await;
@@ -113,9 +130,11 @@
     }
 }
 
+/// A figure that a node tells beside its answer. One that cannot be read, or that no volume can reach, is
+/// passed over; the answer counts without it.
 fn figure(headers: &HeaderMap, name: &str) -> Option<f64> {
     let value: f64 = headers.get(name)?.to_str().ok()?.trim().parse().ok()?;
-    (value.is_finite() && value >= 0.0).then_some(value)
+    (0.0..=MOST_FIGURE).contains(&value).then_some(value)
 }
 
 /// What an error proves. Only a connection that was never made, or a request whose last byte the kernel
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -73,7 +73,7 @@
 }
 
 fn fresh_client() -> Client {
-    client(Spans { dial: Duration::from_secs(1), idle: Duration::from_secs(60) })
+    client(Spans { dial: Duration::from_secs(1), idle: Duration::from_secs(60), most_body: MOST_LIST })
 }
 
 /// Watches discovery for one program.
--- a/src/head.rs
+++ b/src/head.rs
@@ -2,7 +2,7 @@
 
 use crate::admin::Api;
 use crate::back::Backs;
-use crate::back::http::{HttpBack, Spans};
+use crate::back::http::{HttpBack, MOST_BODY, Spans};
 use crate::back::ninep::NinepBack;
 use crate::clock::Clock;
 use crate::config::{Config, Sources};
@@ -149,8 +149,8 @@
     pub fn new(config: Config, sources: Sources) -> Head {
         let config = Rc::new(config);
         let clock = Clock::start();
-        let spans =
-            Spans { dial: Duration::from_micros(config.dial), idle: Duration::from_micros(config.idle) };
+        let (dial, idle) = (Duration::from_micros(config.dial), Duration::from_micros(config.idle));
+        let spans = Spans { dial, idle, most_body: MOST_BODY };
         let backs = Backs::new(HttpBack::new(spans), NinepBack::new(spans.dial));
         for node in &config.operator.boxes {
             backs.ninep.addresses.borrow_mut().insert(backs.names.node(&node.id), node.address);
--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -556,10 +556,22 @@
     }
 }
 
+/// An id that no other request of this test has.
+fn fresh_id() -> String {
+    format!("{:016x}", 0xa000 + u64::from(NUMBER.fetch_add(1, Ordering::SeqCst)))
+}
+
 /// A read over HTTP.
 pub fn get(volume: &str, timeout_ms: u64) -> String {
     format!(
-        "GET /read/x HTTP/1.1\r\nHost: h\r\nRequest-Id: 0a\r\nX-Qos-Policy: even\r\nX-Chunk: 7f\r\n\
-         Request-Timeout-Ms: {timeout_ms}\r\nX-Placement: volume={volume},units=1,shard=3,hosts=1\r\n\r\n"
+        "GET /read/x HTTP/1.1\r\nHost: h\r\nRequest-Id: {}\r\nX-Qos-Policy: even\r\nX-Chunk: 7f\r\n\
+         Request-Timeout-Ms: {timeout_ms}\r\nX-Placement: volume={volume},units=1,shard=3,hosts=1\r\n\r\n",
+        fresh_id()
     )
 }
+
+/// A write over HTTP, at the same shard.
+pub fn write_request(volume: &str, timeout_ms: u64) -> String {
+    let write = get(volume, timeout_ms).replace("GET /read", "PUT /write");
+    write.replace("Host: h", "Host: h\r\nContent-Length: 4") + "body"
+}
