Bound clients in number and time, and check all that a box would read

At fault: HEAD_TIME 10 s and IDLE_TIME 120 s in front/http.rs, no bound on accepted connections, and keep_budget in head.rs, which shed box connections for what clients held. An open id went to a box again (read() took any text for an id), pipelined requests were served one by one, a 4xx kept its connection. Probed: actix-http turns away both lengths, repeated, signed and huge ones by itself (tests/recorded/http.txt); behind a Connection: close answer it goes on with what is queued, and drains a chunked body for as long as it comes, so the front closes those itself.

--- a/src/back/http.rs
+++ b/src/back/http.rs
@@ -4,6 +4,7 @@
 use super::answer::Whole;
 use crate::api::{Ending, Micros};
 use crate::exchange::Ended;
+use crate::front::http::HeldId;
 use actix_http::{Method, StatusCode, Uri};
 use actix_rt::net::TcpStream;
 use actix_service::ServiceExt;
@@ -36,6 +37,8 @@
     pub headers: Vec<(&'static str, String)>,
     /// The body.
     pub body: Bytes,
+    /// Keeps the id from being used again for as long as the request, or an attempt of it, is open.
+    pub held: Option<HeldId>,
 }
 
 /// Limits that a client works with.
--- a/src/config.rs
+++ b/src/config.rs
@@ -66,12 +66,36 @@
     pub idle: Micros,
     /// A connection not made by then has failed.
     pub dial: Micros,
+    /// Which classes write; empty where that is not told.
+    pub writes: Vec<bool>,
     /// Requests that may be open at once.
     pub most_open: usize,
+    /// What the limits leave for each part.
+    pub bounds: Bounds,
     /// What the operator's file adds.
     pub operator: Operator,
 }
 
+/// Bounds that follow from the limits on memory and descriptors.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bounds {
+    /// HTTP clients past which idle ones are closed: a third of the descriptors.
+    pub clients: usize,
+    /// The most HTTP clients at all; boxes and discovery keep the rest of the descriptors.
+    pub most_clients: usize,
+    /// Requests that memory has room for, each with a full body on either side.
+    pub open: usize,
+}
+
+impl Bounds {
+    fn new(sockets: usize, memory_mb: usize) -> Bounds {
+        let clients = (sockets / 3).max(4);
+        // A client that sends as fast as it can costs up to a third of a MB before it is cut off.
+        let most_clients = (sockets / 2).min(3 * memory_mb).max(clients);
+        Bounds { clients, most_clients, open: (4 * memory_mb).max(most_clients) }
+    }
+}
+
 /// What the operator's file sets up; nothing of it is there on the platform.
 #[derive(Debug, Default, PartialEq)]
 pub struct Operator {
@@ -136,13 +160,16 @@
         };
         let seed = string("seed")?;
         let seed = u64::from_str_radix(&seed, 16).map_err(|_| format!("seed is not hexadecimal: {seed}"))?;
-        let sockets = match json.pointer("/limits/sockets") {
-            None => 1024,
+        let limit = |name: &str, least: u64, absent: u64| match json.pointer(&format!("/limits/{name}")) {
+            None => Ok(absent as usize),
             Some(value) => value
                 .as_u64()
-                .filter(|sockets| (32..=1 << 20).contains(sockets))
-                .ok_or_else(|| format!("limits.sockets is out of range: {value}"))?,
+                .filter(|limit| (least..=1 << 20).contains(limit))
+                .map(|limit| limit as usize)
+                .ok_or_else(|| format!("limits.{name} is out of range: {value}")),
         };
+        let sockets = limit("sockets", 32, 1024)?;
+        let bounds = Bounds::new(sockets, limit("memory_mb", 8, 192)?);
         let settings = field("settings")?;
         if !settings.is_object() {
             return Err("settings is not an object".into());
@@ -165,12 +192,21 @@
                 _ => Err(format!("settings.{key} is out of range: {text}")),
             },
         };
+        let flags = |key: &str| {
+            let text = pairs.get(key).map_or("", String::as_str);
+            let flag = |flag: &str| match flag {
+                "true" => Ok(true),
+                "false" => Ok(false),
+                other => Err(format!("settings.{key} is neither true nor false: {other}")),
+            };
+            text.split(',').filter(|_| !text.is_empty()).map(flag).collect::<Result<Vec<bool>, _>>()
+        };
         Ok(Config {
             name: string("name")?,
             listen: address("listen")?,
             discovery: address("discovery")?,
             seed,
-            sockets: sockets as usize,
+            sockets,
             known: json.get("known").filter(|known| !known.is_null()).cloned(),
             settings: read_settings(&lines).map_err(|error| format!("settings: {error}"))?,
             classes: names("classes")?,
@@ -180,7 +216,9 @@
                 .map_or(Vec::new(), |zones| zones.split(',').map(str::to_owned).collect()),
             idle: figure("limits.connIdle", 15_000_000)?,
             dial: figure("limits.dialTimeout", 250_000)?,
-            most_open: figure("limits.maxOpen", 20_000)? as usize,
+            writes: flags("specifics.changesData")?,
+            most_open: (figure("limits.maxOpen", 20_000)? as usize).min(bounds.open),
+            bounds,
             operator: Operator::default(),
         })
     }
@@ -218,6 +256,7 @@
             ("name", self.name == other.name),
             ("listen", self.listen == other.listen),
             ("limits.sockets", self.sockets == other.sockets),
+            ("limits.memory_mb", self.bounds == other.bounds || self.sockets != other.sockets),
             ("limits.connIdle", self.idle == other.idle),
             ("limits.dialTimeout", self.dial == other.dial),
             ("limits.maxOpen", self.most_open == other.most_open),
--- a/src/front/http.rs
+++ b/src/front/http.rs
@@ -1,5 +1,6 @@
 //! The platform's HTTP front, with actix-http: reads a request, asks the exchange, writes the answer.
 
+use crate::api::Micros;
 use crate::back::http::{HttpJob, MOST_BODY};
 use crate::back::{Job, Reply};
 use crate::config::Config;
@@ -15,7 +16,7 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
@@ -26,12 +27,19 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::AbortHandle;
 
-/// Time in which a client must bring a request's head once its first byte is due.
-const HEAD_TIME: Duration = Duration::from_secs(10);
-/// Time after which an idle client connection is closed. Clients keep theirs for a whole day's work, and a
-/// close that crosses a request costs it a new connection.
-const IDLE_TIME: Duration = Duration::from_secs(120);
+/// Time in which a client must bring a request whole, from its first byte or from connecting. A client that
+/// does not is owed an error or a close within 3 s.
+const WHOLE_TIME: Duration = Duration::from_millis(2200);
+/// Time after which an idle client connection is closed. Clients reuse theirs, and a close that crosses a
+/// request costs it a new connection; but some keep theirs for good and never use it again.
+const IDLE_TIME: Duration = Duration::from_secs(30);
+/// Time after which a connection without a request may be closed where they are short.
+const SHORT_TIME: Duration = Duration::from_secs(2);
+/// A connection of which nothing has come so long after it was made may give way to another.
+const MUTE_TIME: Duration = Duration::from_millis(250);
 
+/// Time that a last answer has to get to its client before the connection closes.
+const LAST_TIME: Duration = Duration::from_millis(300);
 /// A request of which nothing has come for so long has stalled.
 const STALLED: Duration = Duration::from_secs(1);
 
@@ -40,7 +48,14 @@
 struct State {
     busy: Cell<bool>,
     touched: Cell<Instant>,
+    /// Bytes have come since the last answer.
     buffered: Cell<bool>,
+    /// When the first byte of a request came that is not answered; at first, when the connection was made.
+    begun: Cell<Option<Instant>>,
+    /// Anything has ever come.
+    spoken: Cell<bool>,
+    /// When it was given its last answer.
+    last: Cell<Option<Instant>>,
 }
 
 /// A client's socket that notes when it was last used.
@@ -59,8 +74,11 @@
         let before = buf.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
         if buf.filled().len() > before {
-            self.state.touched.set(Instant::now());
+            let now = Instant::now();
+            self.state.touched.set(now);
             self.state.buffered.set(true);
+            self.state.spoken.set(true);
+            self.state.begun.set(self.state.begun.get().or(Some(now)));
         }
         polled
     }
@@ -107,12 +125,80 @@
         idle.sort_by_key(|(state, _)| state.touched.get());
         idle.iter().take(most).for_each(|(_, task)| task.abort());
     }
+
+    /// Closes the connections on which a request has begun and does not come to its end, and where there are
+    /// more than `most` the idle ones.
+    pub fn sweep(&self, most: usize) {
+        let late = |since: &Cell<Option<Instant>>, time| since.get().is_some_and(|at| at.elapsed() > time);
+        // actix-http reads on what comes behind a last answer, for as long as it comes.
+        let stuck = |state: &State| {
+            late(&state.last, LAST_TIME) || (!state.busy.get() && late(&state.begun, WHOLE_TIME))
+        };
+        let open = self.open.borrow();
+        open.values().filter(|(state, _)| stuck(state)).for_each(|(_, task)| task.abort());
+        let over = open.len().saturating_sub(most);
+        drop(open);
+        if over > 0 {
+            self.close_idle(over, SHORT_TIME);
+        }
+    }
+
+    /// Makes room for one more: the connection that has said nothing for the longest goes, or the one that
+    /// has been idle for the longest. Whether there is room.
+    fn give_way(&self) -> bool {
+        let open = self.open.borrow();
+        let free = open.values().filter(|(state, _)| {
+            let quiet = state.touched.get().elapsed();
+            !state.busy.get() && quiet >= if state.spoken.get() { SHORT_TIME } else { MUTE_TIME }
+        });
+        let first = free.min_by_key(|(state, _)| (state.spoken.get(), state.touched.get()));
+        first.inspect(|(_, task)| task.abort()).is_some()
+    }
+}
+
+/// The ids of requests that are open, and of those that were a moment ago. An id that comes again is not
+/// passed on: at a box it would be a second copy of the first one's request.
+#[derive(Debug, Default)]
+struct Ids {
+    held: RefCell<HashSet<u64>>,
+    past: RefCell<VecDeque<(Instant, u64)>>,
+}
+
+/// How long, and how many at the most, ids are remembered behind their requests.
+const PAST_TIME: Duration = Duration::from_secs(5);
+const MOST_PAST: usize = 16_384;
+
+impl Ids {
+    fn hold(self: &Rc<Self>, id: u64) -> Option<HeldId> {
+        let mut held = self.held.borrow_mut();
+        let mut past = self.past.borrow_mut();
+        while past.len() > MOST_PAST || past.front().is_some_and(|(at, _)| at.elapsed() > PAST_TIME) {
+            if let Some((_, id)) = past.pop_front() {
+                held.remove(&id);
+            }
+        }
+        held.insert(id).then(|| HeldId { ids: Rc::clone(self), id })
+    }
+}
+
+/// An id for as long as its request, or an attempt of it, is open.
+#[derive(Debug)]
+pub struct HeldId {
+    ids: Rc<Ids>,
+    id: u64,
+}
+
+impl Drop for HeldId {
+    fn drop(&mut self) {
+        self.ids.past.borrow_mut().push_back((Instant::now(), self.id));
+    }
 }
 
 /// The HTTP front of one program.
 pub struct HttpFront {
     hub: Rc<Hub>,
     config: Rc<Config>,
+    ids: Rc<Ids>,
     /// Its connections.
     pub connections: Connections,
     /// Answers close their connections.
@@ -122,7 +208,8 @@
 impl HttpFront {
     /// A front that asks this hub.
     pub fn new(hub: Rc<Hub>, config: Rc<Config>) -> Rc<HttpFront> {
-        Rc::new(HttpFront { hub, config, connections: Connections::default(), closing: Cell::new(false) })
+        let (ids, connections, closing) = Default::default();
+        Rc::new(HttpFront { hub, config, ids, connections, closing })
     }
 
     /// Accepts connections for as long as the future is polled.
@@ -134,7 +221,7 @@
         });
         let factory = HttpService::<Tracked, _, _>::build()
             .keep_alive(KeepAlive::Timeout(IDLE_TIME))
-            .client_request_timeout(HEAD_TIME)
+            .client_request_timeout(WHOLE_TIME)
             // Guards against waiting for clients that have gone: a half-closed connection is a closed one.
             .h1_allow_half_closed(false)
             .on_connect_ext(|io: &Tracked, data| {
@@ -144,22 +231,25 @@
         let handler = factory.new_service(()).await.map_err(|()| io::Error::other("no HTTP service"))?;
         let handler = Rc::new(handler);
         loop {
-            let (stream, peer) = match listener.accept().await {
-                Ok(accepted) => accepted,
-                Err(error) => {
-                    // Out of descriptors, or a client that has gone again: neither ends the program.
-                    eprintln!("accept: {error}");
-                    tokio::time::sleep(Duration::from_millis(5)).await;
-                    continue;
-                }
+            // Out of descriptors, or a client that has gone again: neither ends the program.
+            let Ok((stream, peer)) = listener.accept().await else {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+                continue;
             };
+            // Guards against clients that connect without end: boxes and discovery keep their descriptors.
+            if self.connections.count() >= self.config.bounds.most_clients && !self.connections.give_way() {
+                continue;
+            }
             let _ = stream.set_nodelay(true);
-            let state = State {
+            let now = Instant::now();
+            let state = Rc::new(State {
                 busy: Cell::new(false),
-                touched: Cell::new(Instant::now()),
+                touched: Cell::new(now),
                 buffered: Cell::new(false),
-            };
-            let state = Rc::new(state);
+                begun: Cell::new(Some(now)),
+                spoken: Cell::new(false),
+                last: Cell::new(None),
+            });
             let tracked = Tracked { stream, state: Rc::clone(&state) };
             let number = self.connections.next.replace(self.connections.next.get() + 1);
             let (front, handler) = (Rc::clone(&self), Rc::clone(&handler));
@@ -175,37 +265,67 @@
 
     async fn respond(&self, mut request: Request) -> Response<BoxBody> {
         let state = request.conn_data::<Rc<State>>().map(Rc::clone);
+        let (mut ahead, mut begun) = (false, Instant::now());
         if let Some(state) = &state {
+            // actix-http goes on with what came behind a last answer: it gets nothing, and its connection is
+            // closed in a moment.
+            if state.last.get().is_some() {
+                std::future::pending::<()>().await;
+            }
+            // Nothing has come since the last answer: this one was sent ahead of it.
+            ahead = !state.buffered.get();
+            begun = state.begun.get().unwrap_or(begun);
             state.busy.set(true);
         }
-        let _busy = Busy(state);
-        let mut response = self.answer(&mut request).await;
-        if self.closing.get() {
+        let busy = Busy(state);
+        let mut response = if ahead {
+            plain(StatusCode::BAD_REQUEST, "one request at a time on a connection")
+        } else {
+            self.answer(&mut request, begun).await
+        };
+        // Guards against bad clients that stay: they get their error, and are rid of.
+        if self.closing.get() || response.status().is_client_error() {
             response.head_mut().set_connection_type(ConnectionType::Close);
+            busy.0.iter().for_each(|state| state.last.set(Some(Instant::now())));
         }
         response
     }
 
-    async fn answer(&self, request: &mut Request) -> Response<BoxBody> {
+    async fn answer(&self, request: &mut Request, begun: Instant) -> Response<BoxBody> {
         if request.path() == "/healthz" && request.method() == Method::GET {
             return plain(StatusCode::OK, "ok");
         }
-        let mut body = BytesMut::new();
-        let mut payload = request.take_payload();
-        while let Some(chunk) = payload.next().await {
-            let Ok(chunk) = chunk else { return plain(StatusCode::BAD_REQUEST, "malformed body") };
-            if body.len() + chunk.len() > MOST_BODY {
-                let mut response = plain(StatusCode::PAYLOAD_TOO_LARGE, "body over 64 KiB");
-                response.head_mut().set_connection_type(ConnectionType::Close);
-                return response;
+        let read = match self.read(request) {
+            Ok(read) => read,
+            Err((status, what)) => return plain(status, &what),
+        };
+        let body = async {
+            let mut body = BytesMut::new();
+            let mut payload = request.take_payload();
+            while let Some(chunk) = payload.next().await {
+                let chunk = chunk.map_err(|_| (StatusCode::BAD_REQUEST, "malformed body"))?;
+                if body.len() + chunk.len() > MOST_BODY {
+                    return Err((StatusCode::PAYLOAD_TOO_LARGE, "body over 64 KiB"));
+                }
+                body.extend_from_slice(&chunk);
             }
-            body.extend_from_slice(&chunk);
+            Ok(body.freeze())
+        };
+        let body = match tokio::time::timeout_at((begun + WHOLE_TIME).into(), body).await {
+            Ok(Ok(body)) => body,
+            Ok(Err((status, what))) => return plain(status, what),
+            Err(_) => return plain(StatusCode::REQUEST_TIMEOUT, "the body is late"),
+        };
+        if read.job.method == Method::GET && !body.is_empty() {
+            return plain(StatusCode::BAD_REQUEST, "a read has no body");
         }
-        let (ask, job) = match self.read(request, body.freeze()) {
-            Ok(read) => read,
-            Err(what) => return plain(StatusCode::BAD_REQUEST, &what),
+        // The client's time runs from the last byte.
+        let deadline = self.hub.clock().now() + read.patience;
+        let Some(held) = self.ids.hold(read.number) else {
+            return plain(StatusCode::CONFLICT, "Request-Id is in use");
         };
-        let Some(ticket) = self.hub.request(ask, Job::Http(job)) else {
+        let job = HttpJob { body, held: Some(held), ..read.job };
+        let Some(ticket) = self.hub.request(Ask { deadline, ..read.ask }, Job::Http(job)) else {
             return refused(0.1);
         };
         match ticket.answer().await {
@@ -217,41 +337,82 @@
         }
     }
 
-    /// Reads what a request asks for, or says in one line what is wrong with it.
-    fn read(&self, request: &Request, body: Bytes) -> Result<(Ask, HttpJob), String> {
+    /// Reads what a request asks for, or says in one line what is wrong with it. All that a box would read is
+    /// checked here: a box closes on what it cannot read, whatever else waits on that connection.
+    fn read(&self, request: &Request) -> Result<Read, Bad> {
+        let bad = |what: String| (StatusCode::BAD_REQUEST, what);
         let headers = request.headers();
-        let id = text(headers, "Request-Id")?;
+        let id = text(headers, "Request-Id").map_err(bad)?;
+        let number = hex(id).ok_or_else(|| bad(format!("malformed Request-Id {}", short(id))))?;
         let name = request.path().trim_start_matches('/').split('/').next().unwrap_or_default();
-        let class = self.config.class(name).ok_or_else(|| format!("unknown class {name:?}"))?;
-        let plan_name = text(headers, "X-Qos-Policy")?;
-        let plan = self.config.plan(plan_name).ok_or_else(|| format!("unknown plan {plan_name:?}"))?;
-        let chunk = text(headers, "X-Chunk")?;
-        let key = hex(chunk).ok_or_else(|| format!("malformed X-Chunk {chunk:?}"))?;
-        let left = text(headers, "Request-Timeout-Ms")?;
+        let unknown = |what: &str, name: &str| bad(format!("unknown {what} {}", short(name)));
+        let class = self.config.class(name).ok_or_else(|| unknown("class", name))?;
+        let plan_name = text(headers, "X-Qos-Policy").map_err(bad)?;
+        let plan = self.config.plan(plan_name).ok_or_else(|| unknown("plan", plan_name))?;
+        let chunk = text(headers, "X-Chunk").map_err(bad)?;
+        let key = hex(chunk).ok_or_else(|| bad(format!("malformed X-Chunk {}", short(chunk))))?;
+        let left = text(headers, "Request-Timeout-Ms").map_err(bad)?;
         let left_ms: u64 = left
             .parse()
             .ok()
-            .filter(|left| (1..=3_600_000).contains(left))
-            .ok_or_else(|| format!("malformed Request-Timeout-Ms {left:?}"))?;
-        let placement = text(headers, "X-Placement")?;
-        let spot = place(placement).ok_or_else(|| format!("malformed X-Placement {placement:?}"))?;
+            .filter(|left| (1..=MOST_PATIENCE_MS).contains(left))
+            .ok_or_else(|| bad(format!("malformed Request-Timeout-Ms {}", short(left))))?;
+        let placement = text(headers, "X-Placement").map_err(bad)?;
+        let spot = place(placement, self.config.settings.top_units)
+            .ok_or_else(|| bad(format!("malformed X-Placement {}", short(placement))))?;
         let (volume, units, cell, hosts) = spot;
-        let deadline = self.hub.clock().now() + left_ms * 1000;
-        let ask = Ask { class, plan, key, deadline, volume, units, cell, hosts };
-        let target = request.uri().path_and_query().map_or("/", |target| target.as_str()).to_owned();
+        let method = request.method().clone();
+        let writes = self.config.writes.get(class).copied();
+        let fits = match method {
+            Method::GET => writes != Some(true),
+            Method::PUT => writes != Some(false),
+            _ => false,
+        };
+        if !fits {
+            return Err((StatusCode::METHOD_NOT_ALLOWED, format!("no {} {name}", short(method.as_str()))));
+        }
+        let uri = request.uri();
+        let target = uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
+        if uri.authority().is_some() || !target.starts_with('/') || headers.contains_key("Upgrade") {
+            return Err(bad("malformed target".to_owned()));
+        }
+        let length = headers.get("Content-Length").and_then(|value| value.to_str().ok()?.trim().parse().ok());
+        if length.is_some_and(|length: u64| length > MOST_BODY as u64) {
+            return Err((StatusCode::PAYLOAD_TOO_LARGE, "body over 64 KiB".to_owned()));
+        }
+        // No client waits past its class's deadline; guards against requests that would be held for ever.
+        let patience = (left_ms * 1000).min(self.config.settings.classes[class].deadline);
+        let ask = Ask { class, plan, key, deadline: 0, volume, units, cell, hosts };
         let mut passed = vec![
             ("X-Qos-Policy", plan_name.to_owned()),
             ("X-Chunk", chunk.to_owned()),
             ("X-Placement", placement.to_owned()),
         ];
         for name in ["Client-Retry", "Content-Type"] {
-            passed.extend(text(headers, name).ok().map(|value| (name, value.to_owned())));
+            if headers.contains_key(name) {
+                passed.push((name, text(headers, name).map_err(bad)?.to_owned()));
+            }
         }
-        let method = request.method().clone();
-        Ok((ask, HttpJob { id: id.to_owned(), method, target, headers: passed, body }))
+        let body = Bytes::new();
+        let job = HttpJob { id: id.to_owned(), method, target, headers: passed, body, held: None };
+        Ok(Read { number, patience, ask, job })
     }
 }
 
+/// A request as it was read; its deadline and body are still to come.
+struct Read {
+    number: u64,
+    patience: Micros,
+    ask: Ask,
+    job: HttpJob,
+}
+
+/// An error for the client, and what is wrong.
+type Bad = (StatusCode, String);
+
+/// The longest that a client can say it waits.
+const MOST_PATIENCE_MS: u64 = 3_600_000;
+
 /// A connection's place among the open ones, for as long as its task lives.
 struct Entry {
     front: Rc<HttpFront>,
@@ -272,32 +433,54 @@
         if let Some(state) = &self.0 {
             state.busy.set(false);
             state.buffered.set(false);
+            state.begun.set(None);
             state.touched.set(Instant::now());
         }
     }
 }
 
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<&'a str, String> {
-    let value = headers.get(name).ok_or_else(|| format!("{name} is missing"))?;
+    let mut values = headers.get_all(name);
+    let value = values.next().ok_or_else(|| format!("{name} is missing"))?;
+    if values.next().is_some() {
+        return Err(format!("{name} is repeated"));
+    }
     value.to_str().map(str::trim).map_err(|_| format!("malformed {name}"))
 }
 
+/// What a client sent, cut short for an answer to it.
+fn short(text: &str) -> String {
+    format!("{:?}", text.chars().take(64).collect::<String>())
+}
+
+/// Reads 16 hexadecimal digits.
 fn hex(text: &str) -> Option<u64> {
-    let digits = (1..=16).contains(&text.len()) && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+    let digits = text.len() == 16 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
     if digits { u64::from_str_radix(text, 16).ok() } else { None }
 }
 
-/// Reads `volume=…,units=…,shard=…,hosts=…`.
-fn place(text: &str) -> Option<(u64, f64, Option<u32>, f64)> {
+/// Reads `volume=…,units=…,shard=…,hosts=…`, each once.
+fn place(text: &str, top_units: f64) -> Option<(u64, f64, Option<u32>, f64)> {
     let (mut volume, mut units, mut shard, mut hosts) = (None, None, None, None);
+    let whole = |value: &str, most: f64| {
+        value.parse::<u32>().ok().map(f64::from).filter(|value| (1.0..=most).contains(value))
+    };
     for pair in text.split(',') {
         let (name, value) = pair.split_once('=')?;
-        match name.trim() {
-            "volume" => volume = Some(hex(value.trim())?),
-            "units" => units = value.trim().parse::<f64>().ok().filter(|units| (0.0..=1e9).contains(units)),
-            "shard" => shard = value.trim().parse::<i64>().ok().filter(|shard| (-1..=65_535).contains(shard)),
-            "hosts" => hosts = value.trim().parse::<f64>().ok().filter(|hosts| (0.0..=1e6).contains(hosts)),
-            _ => {}
+        let value = value.trim();
+        let again = match name.trim() {
+            "volume" => volume.replace(hex(value)?).is_some(),
+            // More than a request can count would empty its volume's stores for long.
+            "units" => units.replace(whole(value, top_units.max(1.0))?).is_some(),
+            "shard" => {
+                let value = value.parse::<i64>().ok().filter(|shard| (-1..=65_535).contains(shard))?;
+                shard.replace(value).is_some()
+            }
+            "hosts" => hosts.replace(whole(value, 65_535.0)?).is_some(),
+            _ => false,
+        };
+        if again {
+            return None;
         }
     }
     Some((volume?, units?, u32::try_from(shard?).ok(), hosts?))
--- a/src/head.rs
+++ b/src/head.rs
@@ -28,8 +28,8 @@
 const RESTED: Duration = Duration::from_millis(60);
 /// Time between looks at the descriptors.
 const BUDGET_LOOK: Duration = Duration::from_millis(250);
-/// Part of the descriptors at which idle connections are closed.
-const BUDGET_EDGE: f64 = 0.8;
+/// Part of the descriptors at which idle connections to nodes are closed.
+const BUDGET_EDGE: f64 = 0.9;
 
 /// Where the program is in its life.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -239,12 +239,12 @@
 
     /// Keeps clients, nodes and discovery within the descriptors that the program may hold.
     fn keep_budget(&self) {
+        self.front.connections.sweep(self.config.bounds.clients);
         let held = std::fs::read_dir("/proc/self/fd").map_or(0, Iterator::count);
         let edge = (self.config.sockets as f64 * BUDGET_EDGE) as usize;
         if held > edge {
-            eprintln!("descriptors: {held} of {}; closing idle connections", self.config.sockets);
+            // Clients have a bound of their own; what is left are idle connections to nodes.
             self.hub.backs().http.shed_idle();
-            self.front.connections.close_idle(held - edge, Duration::from_secs(1));
         }
     }
 
--- /dev/null
+++ b/tests/clients.rs
@@ -0,0 +1,157 @@
+//! Clients that do not keep to the protocol: each gets an error or a close in time, and others are served.
+
+mod standin;
+
+use serde_json::json;
+use standin::{Discovery, Fault, Program, StandIn, config, get, read_http, write_request};
+use std::io::{BufReader, Read, Write};
+use std::net::TcpStream;
+use std::thread;
+use std::time::{Duration, Instant};
+
+fn one(work: Duration, sockets: u64) -> (StandIn, Program) {
+    let node = StandIn::start("s-1", 3, work, Fault::None);
+    let discovery = Discovery::start(vec![node.entry("ready")]);
+    let mut config = config(discovery.address);
+    *config.pointer_mut("/limits/sockets").expect("a key") = json!(sockets);
+    let program = Program::start(&config, None);
+    thread::sleep(Duration::from_millis(100));
+    (node, program)
+}
+
+fn connect(program: &Program, sent: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(program.http).expect("a connection");
+    stream.set_read_timeout(Some(Duration::from_secs(10))).expect("a timeout");
+    stream.write_all(sent.as_bytes()).expect("sent");
+    stream
+}
+
+/// All that a client is sent until its connection is closed, and how long that took.
+fn heard(mut stream: TcpStream) -> (String, Duration) {
+    let begun = Instant::now();
+    let mut text = Vec::new();
+    // A reset is a close, too.
+    let end = stream.read_to_end(&mut text);
+    let timed_out = end.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock);
+    assert!(!timed_out, "the connection stays open");
+    (String::from_utf8_lossy(&text).into_owned(), begun.elapsed())
+}
+
+#[test]
+fn what_never_comes_whole_gets_an_error_or_a_close_within_three_seconds() {
+    let (node, program) = one(Duration::ZERO, 1024);
+    let whole = write_request("a0", 1000);
+    let chunked = whole.replace("Content-Length: 4", "Transfer-Encoding: chunked");
+    let cases = [
+        String::new(),
+        whole[..60].to_owned(),
+        whole.replace("Content-Length: 4", "Content-Length: 400"),
+        chunked.replace("\r\n\r\nbody", "\r\n\r\n4\r\nbo"),
+    ];
+    let streams: Vec<TcpStream> = cases.iter().map(|sent| connect(&program, sent)).collect();
+    // The second request of a connection is due as soon as the first.
+    let mut second = connect(&program, &get("a0", 1000));
+    let mut reader = BufReader::new(second.try_clone().expect("a clone"));
+    read_http(&mut reader).expect("an answer");
+    second.write_all(&whole.as_bytes()[..60]).expect("sent");
+    let waiting: Vec<_> = streams.into_iter().map(|stream| thread::spawn(move || heard(stream))).collect();
+    for (waiting, case) in waiting.into_iter().zip(&cases) {
+        let (text, took) = waiting.join().expect("a client");
+        assert!(took < Duration::from_secs(3), "{case:?} took {took:?}");
+        assert!(text.is_empty() || text.starts_with("HTTP/1.1 4"), "{case:?} got {text:?}");
+    }
+    assert!(heard(second).1 < Duration::from_secs(3));
+    assert_eq!(node.runs("PUT"), 0);
+}
+
+#[test]
+fn a_body_past_the_limit_is_turned_away_by_its_length() {
+    let (node, program) = one(Duration::ZERO, 1024);
+    let huge = write_request("a0", 1000).replace("Content-Length: 4", "Content-Length: 62914560");
+    let (text, took) = heard(connect(&program, &huge));
+    assert!(text.starts_with("HTTP/1.1 413") && took < Duration::from_secs(1), "{text} after {took:?}");
+    // One that tells no length is cut off at the limit.
+    let head = write_request("a0", 1000).replace("Content-Length: 4", "Transfer-Encoding: chunked");
+    let mut stream = connect(&program, &head.replace("\r\n\r\nbody", "\r\n\r\n"));
+    let chunk = [&b"10000\r\n"[..], &[b'x'; 65_536], b"\r\n"].concat();
+    while stream.write_all(&chunk).is_ok() {}
+    assert_eq!(node.runs("PUT"), 0);
+}
+
+#[test]
+fn an_id_that_is_open_or_was_a_moment_ago_is_not_passed_on_again() {
+    let (node, program) = one(Duration::from_millis(200), 1024);
+    let request = write_request("a0", 1000);
+    let first = connect(&program, &request);
+    thread::sleep(Duration::from_millis(50));
+    assert!(program.ask(&request).0.starts_with("HTTP/1.1 409"));
+    // A client that leaves does not free the id: its attempt is still out.
+    let gone = write_request("a0", 1000);
+    drop(connect(&program, &gone));
+    thread::sleep(Duration::from_millis(50));
+    assert!(program.ask(&gone).0.starts_with("HTTP/1.1 409"));
+    let mut answer = String::new();
+    BufReader::new(first).read_line_of(&mut answer);
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(program.ask(&request).0.starts_with("HTTP/1.1 409"));
+    assert!(node.runs("PUT") <= 2);
+}
+
+trait ReadLine {
+    fn read_line_of(self, line: &mut String);
+}
+
+impl ReadLine for BufReader<TcpStream> {
+    fn read_line_of(mut self, line: &mut String) {
+        std::io::BufRead::read_line(&mut self, line).expect("a line");
+    }
+}
+
+#[test]
+fn requests_sent_ahead_of_an_answer_end_their_connection() {
+    let (node, program) = one(Duration::from_millis(50), 1024);
+    let many: String = (0..200).map(|_| get("a0", 1000)).collect();
+    let (text, took) = heard(connect(&program, &many));
+    assert!(took < Duration::from_secs(3), "{took:?}");
+    assert!(text.contains("HTTP/1.1 400") && text.matches("HTTP/1.1").count() == 2, "{text}");
+    assert_eq!(node.runs("GET"), 1);
+}
+
+#[test]
+fn a_crowd_that_says_nothing_does_not_shut_out_others() {
+    let (_node, program) = one(Duration::ZERO, 128);
+    // Ten times as many as the program may hold at all.
+    let crowd: Vec<TcpStream> = (0..1280)
+        .map(|i| {
+            if i % 128 == 127 {
+                thread::sleep(Duration::from_millis(300));
+            }
+            TcpStream::connect(program.http).expect("a connection")
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(300));
+    for _ in 0..20 {
+        assert!(program.ask(&get("a0", 1000)).0.starts_with("HTTP/1.1 200"));
+    }
+    drop(crowd);
+}
+
+#[test]
+fn clients_that_ask_once_and_stay_are_closed_where_connections_are_short() {
+    let (_node, program) = one(Duration::ZERO, 96);
+    let stay: Vec<TcpStream> = (0..40)
+        .map(|_| {
+            let stream = connect(&program, &get("a0", 1000));
+            read_http(&mut BufReader::new(stream.try_clone().expect("a clone"))).expect("an answer");
+            stream
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(3000));
+    let closed = stay.iter().filter(|stream| {
+        let mut stream: &TcpStream = stream;
+        stream.set_read_timeout(Some(Duration::from_millis(1))).expect("a timeout");
+        matches!(stream.read(&mut [0; 1]), Ok(0))
+    });
+    // A third of the descriptors is theirs.
+    assert_eq!(closed.count(), 8);
+}
