Give each request of the shares test an id of its own

Seen: with ids that are not passed on twice, volumes_share_a_box_evenly_across_9p_and_http got 409 and lost its connection: its HTTP loops sent one id over and over, which the protocol forbids.

--- a/tests/ninep.rs
+++ b/tests/ninep.rs
@@ -251,8 +251,8 @@
                 scope.spawn(move || {
                     let mut writer = TcpStream::connect(http).expect("a connection");
                     let mut reader = std::io::BufReader::new(writer.try_clone().expect("a clone"));
-                    let request = get(&format!("a{volume}"), 1000);
                     while Instant::now() < end {
+                        let request = get(&format!("a{volume}"), 1000);
                         writer.write_all(request.as_bytes()).expect("sent");
                         let (lines, _) = standin::read_http(&mut reader).expect("an answer");
                         count(volume, lines[0].contains("200"));
