Send one late request to an idle node soon after its last news

Ruled out: misses (down=false throughout), the cold guard (crowded is set, not room), no holder (about 160 a window, shards between two boxes). At fault: choose() in control.rs let late work leave an idle node only where it was not crowded. With nothing out no answer can correct the belief, which wears off over 1 s while the margin for its age doubles it, so that one stall or time-out shut a node out for seconds. Now, a quarter of the aim after the last news, one request goes to see. The test in tests/failures.rs fails without the line (none sent in place of one).

--- a/src/control.rs
+++ b/src/control.rs
@@ -643,7 +643,10 @@
             }
             spare = spare.or(Some(*id));
         }
-        spare.or(late.filter(|_| node.out == 0 && !crowded))
+        // Guards against a belief that nothing can change: where nothing is out no answer tells that a stall
+        // is over. Soon after the last news one late request goes to see.
+        let stale = now > node.told + node.aim / 4;
+        spare.or(late.filter(|_| node.out == 0 && (stale || !crowded)))
     }
 
     fn send(&mut self, id: RequestId, name: NodeId, now: Micros, actions: &mut Vec<Action>) {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -336,3 +336,23 @@
     let next = feed(&mut c, now + MS, Event::Request(request(21, 0, Some(1), now + 150 * MS)));
     assert_eq!(sent(&next), [(21, 1)]);
 }
+
+/// Churning days: after one long stall a node with nothing out was taken for crowded for seconds, since only an
+/// answer tells otherwise and none could come; all that came for it was refused meanwhile.
+#[test]
+fn a_node_with_nothing_out_gets_a_request_soon_after_a_stall() {
+    let (mut c, _) = started(vec![listed(1, 1, 0, Readiness::Ready)]);
+    let mut now = 2 * SECOND;
+    run_one_by_one(&mut c, &mut now, 1..9, Ending::Ok, 10 * MS);
+    feed(&mut c, now, Event::Request(request(20, 0, Some(1), now + 2 * SECOND)));
+    now += 900 * MS;
+    feed(&mut c, now, Event::Outcome(ended(20, 0, 1, Ending::Timeout, 900 * MS)));
+    // At once it is left alone; a quarter of the aim later one request leaves to see, and only one.
+    let soon = feed(&mut c, now + 5 * MS, Event::Request(request(21, 0, Some(1), now + 2 * SECOND)));
+    assert_eq!(sent(&soon), []);
+    now += 120 * MS;
+    let later = feed(&mut c, now, Event::Request(request(22, 0, Some(1), now + 2 * SECOND)));
+    assert_eq!(sent(&later).len(), 1, "{later:?}");
+    let more = feed(&mut c, now + MS, Event::Request(request(23, 0, Some(1), now + 2 * SECOND)));
+    assert_eq!(sent(&more), []);
+}
