Forget boxes that are gone, let connections rest behind answers, bound 9P clients

Now a box that is off the list and has nothing in flight is forgotten with its pool; an answer is handed on at once, and its connection goes back to the pool 5 ms later, when an end right behind it has been heard.

--- a/src/back/http.rs
+++ b/src/back/http.rs
@@ -4,15 +4,16 @@
 use super::answer::Whole;
 use crate::api::{Ending, Micros};
 use crate::exchange::Ended;
-use crate::front::http::HeldId;
+use crate::ids::HeldId;
 use actix_http::{Method, StatusCode, Uri};
 use actix_rt::net::TcpStream;
 use actix_service::ServiceExt;
 use actix_tls::connect::{Connection, Connector as TcpConnector, Resolver};
 use awc::error::{ConnectError, SendRequestError};
-use awc::http::header::HeaderMap;
+use awc::http::header::{CONTENT_LENGTH, HeaderMap};
 use awc::{Client, Connector};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -21,6 +22,8 @@
 /// The largest body of a message.
 pub const MOST_BODY: usize = 64 * 1024;
 
+/// How long a connection rests behind an answer before it is used again.
+const REST: Duration = Duration::from_millis(5);
 /// The largest figure that a node can mean: what the simulator's wire has room for.
 const MOST_FIGURE: f64 = 65_535.0;
 
@@ -120,11 +123,26 @@
         let not_started = response.headers().get("Not-Started").is_some_and(|value| value == "1");
         let used = figure(response.headers(), "X-Iops-Used").map(|percent| percent / 100.0);
         let elsewhere = figure(response.headers(), "X-Rho").unwrap_or(0.0);
-        let body = response.body().limit(MOST_BODY).await;
-        let (ending, reply) = match (status, body) {
-            (StatusCode::OK, Ok(body)) => (Ending::Ok, Some(Reply::Http(body))),
-            (StatusCode::OK, Err(_)) => (Ending::Reset, None),
-            (StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT, _) if not_started => {
+        let length =
+            response.headers().get(CONTENT_LENGTH).and_then(|length| length.to_str().ok()?.parse().ok());
+        let length: usize = length.unwrap_or(0);
+        let mut body = BytesMut::new();
+        while body.len() < length {
+            match response.next().await {
+                Some(Ok(chunk)) => body.extend_from_slice(&chunk),
+                Some(Err(_)) | None => return Ended::bare(Ending::Reset),
+            }
+        }
+        // Guards against boxes that close a connection right behind an answer: a write that goes out before
+        // that is heard may have run, and fails. awc takes the connection back at the end of the body, which
+        // it is told a little later.
+        actix_rt::spawn(async move {
+            tokio::time::sleep(REST).await;
+            while let Some(Ok(_)) = response.next().await {}
+        });
+        let (ending, reply) = match status {
+            StatusCode::OK => (Ending::Ok, Some(Reply::Http(body.freeze()))),
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if not_started => {
                 (Ending::Full, None)
             }
             _ => (Ending::Error, None),
--- a/src/back/mod.rs
+++ b/src/back/mod.rs
@@ -8,7 +8,7 @@
 use crate::exchange::Ended;
 use crate::ninep::Message;
 use bytes::Bytes;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
@@ -32,14 +32,23 @@
 
 /// The names that deployments give their nodes, as the numbers that the decisions use.
 #[derive(Debug, Default)]
-pub struct Names(RefCell<HashMap<String, NodeId>>);
+pub struct Names {
+    known: RefCell<HashMap<String, NodeId>>,
+    last: Cell<u64>,
+}
 
 impl Names {
-    /// The number of a name; the same name always has the same one.
+    /// The number of a name; the same name has the same one until it is forgotten.
     pub fn node(&self, name: &str) -> NodeId {
-        let mut names = self.0.borrow_mut();
-        let next = NodeId(names.len() as u64 + 1);
-        *names.entry(name.to_owned()).or_insert(next)
+        *self.known.borrow_mut().entry(name.to_owned()).or_insert_with(|| {
+            self.last.set(self.last.get() + 1);
+            NodeId(self.last.get())
+        })
+    }
+
+    /// All numbers in use.
+    pub fn all(&self) -> Vec<NodeId> {
+        self.known.borrow().values().copied().collect()
     }
 }
 
@@ -61,6 +70,24 @@
         Backs { names: Names::default(), addresses: RefCell::default(), http, ninep }
     }
 
+    /// Takes a node's HTTP address, where it has one; idle connections to the one it had before are closed.
+    pub fn place(&self, node: NodeId, address: Option<SocketAddr>) {
+        let before = match address {
+            Some(address) => self.addresses.borrow_mut().insert(node, address),
+            None => self.addresses.borrow_mut().remove(&node),
+        };
+        if let Some(before) = before.filter(|before| Some(*before) != address) {
+            self.http.forget(before);
+        }
+    }
+
+    /// Forgets a node that is no more. Its name, should it come back, gets a new number. Boxes that speak 9P
+    /// stand in the operator's file and are never forgotten.
+    pub fn forget(&self, node: NodeId) {
+        self.place(node, None);
+        self.names.known.borrow_mut().retain(|_, known| *known != node);
+    }
+
     /// Makes an attempt; `None` where the node cannot take this kind of job.
     pub async fn attempt(&self, node: NodeId, left: Micros, job: &Job) -> Option<Ended<Reply>> {
         match job {
--- a/src/config.rs
+++ b/src/config.rs
@@ -85,6 +85,12 @@
     pub most_clients: usize,
     /// Requests that memory has room for, each with a full body on either side.
     pub open: usize,
+    /// The most 9P clients.
+    pub ninep_clients: usize,
+    /// Operations of one 9P client at once; past it the client's socket is not read.
+    pub ninep_at_once: usize,
+    /// The most fids of a 9P client.
+    pub ninep_fids: usize,
 }
 
 impl Bounds {
@@ -92,7 +98,14 @@
         let clients = (sockets / 3).max(4);
         // A client that sends as fast as it can costs up to a third of a MB before it is cut off.
         let most_clients = (sockets / 2).min(3 * memory_mb).max(clients);
-        Bounds { clients, most_clients, open: (4 * memory_mb).max(most_clients) }
+        Bounds {
+            clients,
+            most_clients,
+            open: (4 * memory_mb).max(most_clients),
+            ninep_clients: (sockets / 6).min(memory_mb).max(1),
+            ninep_at_once: (memory_mb / 4).clamp(4, 64),
+            ninep_fids: (4 * memory_mb).clamp(64, 4096),
+        }
     }
 }
 
@@ -246,7 +259,14 @@
         }
         let admin = admin(&pairs)?;
         let vrrp = vrrp(&pairs)?;
-        self.operator = Operator { ninep, ninep_clients: clients as usize, tenants, boxes, admin, vrrp };
+        self.operator = Operator {
+            ninep,
+            ninep_clients: (clients as usize).min(self.bounds.ninep_clients),
+            tenants,
+            boxes,
+            admin,
+            vrrp,
+        };
         Ok(())
     }
 
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -85,16 +85,19 @@
     /// When it was sent to this address, until something has come from there.
     moved: Option<Instant>,
     generation: Option<u64>,
-    /// Nodes that discovery has ever told of: of those it alone knows what has become of them.
+    /// The operator's boxes that discovery has ever told of: it alone knows what has become of those.
     told: BTreeSet<NodeId>,
+    /// The nodes on its list.
+    listed: BTreeSet<NodeId>,
 }
 
 impl Discovery {
     /// A watch that tells this hub.
     pub fn new(hub: Rc<Hub>, config: Rc<Config>) -> Discovery {
         let address = config.discovery;
-        let (client, generation, told) = (fresh_client(), None, BTreeSet::new());
-        Discovery { hub, config, client, address, moved: None, generation, told }
+        let (client, generation) = (fresh_client(), None);
+        let (told, listed) = Default::default();
+        Discovery { hub, config, client, address, moved: None, generation, told, listed }
     }
 
     /// Goes to another discovery: its versions are its own, so that the whole list is asked for. The old list
@@ -189,25 +192,45 @@
 
     fn tell(&mut self, scope: Scope, list: List) {
         self.generation = Some(list.generation);
-        let mut addresses = self.hub.backs().addresses.borrow_mut();
-        for (listed, address) in &list.nodes {
-            if let Some(address) = address {
-                addresses.insert(listed.node, *address);
+        let hub = Rc::clone(&self.hub);
+        let own = self.own();
+        if scope != Scope::Delta {
+            self.listed.clear();
+        }
+        for (Listed { node, readiness, .. }, address) in &list.nodes {
+            if own.iter().any(|(own, _)| own == node) {
+                self.told.insert(*node);
+            }
+            if *readiness == Readiness::Gone {
+                self.listed.remove(node);
+            } else {
+                self.listed.insert(*node);
+                hub.backs().place(*node, *address);
             }
         }
-        drop(addresses);
-        self.told.extend(list.nodes.iter().map(|(listed, _)| listed.node));
         let mut nodes: Vec<Listed> = list.nodes.into_iter().map(|(listed, _)| listed).collect();
         if scope != Scope::Delta {
             nodes.extend(self.untold());
         }
-        self.hub.list(scope, nodes);
+        hub.list(scope, nodes);
+        // Guards against growing with every box that is ever replaced. One with an attempt out is forgotten
+        // with a later list; those come at least once a wait.
+        for node in hub.backs().names.all() {
+            let kept = self.listed.contains(&node) || own.iter().any(|(own, _)| *own == node);
+            if !kept && !hub.in_flight(node) {
+                hub.backs().forget(node);
+            }
+        }
+    }
+
+    /// The boxes of the operator's file, and their shards.
+    fn own(&self) -> Vec<(NodeId, u32)> {
+        self.config.operator.boxes.iter().map(|node| (self.number(&node.id), node.shard)).collect()
     }
 
     /// The boxes of the operator's file that discovery has never told of: they count as ready.
     fn untold(&self) -> Vec<Listed> {
-        let boxes = self.config.operator.boxes.iter().map(|node| (self.number(&node.id), node.shard));
-        let untold = boxes.filter(|(node, _)| !self.told.contains(node));
+        let untold = self.own().into_iter().filter(|(node, _)| !self.told.contains(node));
         let ready = Readiness::Ready;
         untold.map(|(node, cell)| Listed { node, cell, zone: 0, came_up: 0, readiness: ready }).collect()
     }
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -163,6 +163,11 @@
         self.open.len()
     }
 
+    /// Whether an attempt is out at a node.
+    pub fn in_flight(&self, node: NodeId) -> bool {
+        self.flights.values().any(|flight| flight.node == node)
+    }
+
     /// Takes a request; `None` where there is no room for it.
     pub fn request(&mut self, now: Micros, ask: Ask, job: J) -> Option<RequestId> {
         if self.open.len() >= self.most_open {
--- a/src/front/http.rs
+++ b/src/front/http.rs
@@ -6,6 +6,7 @@
 use crate::config::Config;
 use crate::exchange::{Answer, Ask};
 use crate::hub::Hub;
+use crate::ids::Ids;
 use actix_codec::{AsyncRead, AsyncWrite, ReadBuf};
 use actix_http::body::BoxBody;
 use actix_http::header::HeaderMap;
@@ -16,7 +17,7 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
@@ -156,44 +157,6 @@
     }
 }
 
-/// The ids of requests that are open, and of those that were a moment ago. An id that comes again is not
-/// passed on: at a box it would be a second copy of the first one's request.
-#[derive(Debug, Default)]
-struct Ids {
-    held: RefCell<HashSet<u64>>,
-    past: RefCell<VecDeque<(Instant, u64)>>,
-}
-
-/// How long, and how many at the most, ids are remembered behind their requests.
-const PAST_TIME: Duration = Duration::from_secs(5);
-const MOST_PAST: usize = 16_384;
-
-impl Ids {
-    fn hold(self: &Rc<Self>, id: u64) -> Option<HeldId> {
-        let mut held = self.held.borrow_mut();
-        let mut past = self.past.borrow_mut();
-        while past.len() > MOST_PAST || past.front().is_some_and(|(at, _)| at.elapsed() > PAST_TIME) {
-            if let Some((_, id)) = past.pop_front() {
-                held.remove(&id);
-            }
-        }
-        held.insert(id).then(|| HeldId { ids: Rc::clone(self), id })
-    }
-}
-
-/// An id for as long as its request, or an attempt of it, is open.
-#[derive(Debug)]
-pub struct HeldId {
-    ids: Rc<Ids>,
-    id: u64,
-}
-
-impl Drop for HeldId {
-    fn drop(&mut self) {
-        self.ids.past.borrow_mut().push_back((Instant::now(), self.id));
-    }
-}
-
 /// The HTTP front of one program.
 pub struct HttpFront {
     hub: Rc<Hub>,
--- a/src/front/ninep.rs
+++ b/src/front/ninep.rs
@@ -13,21 +13,23 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc};
 use tokio::task::AbortHandle;
 
-/// Operations of one client at once; past it the client's socket is not read.
-const MOST_AT_ONCE: usize = 64;
-/// Replies that may wait for a client's socket.
-const MOST_QUEUED: usize = 128;
-/// The most fids of a client.
-const MOST_FIDS: usize = 4096;
-/// The deepest path.
+/// Replies that may wait for a client's socket; past it, their operations wait to be over.
+const MOST_QUEUED: usize = 4;
+/// The deepest path, and the longest: its names and a byte each.
 const MOST_DEPTH: usize = 512;
+const MOST_PATH: usize = 4096;
+/// Time in which a client must begin its session, and bring a message whole from its first byte.
+const WHOLE_TIME: Duration = Duration::from_millis(2200);
+/// Time in which a client must take a reply.
+const TAKE_TIME: Duration = Duration::from_secs(5);
 /// The smallest message size that a client may ask for.
 const LEAST_SIZE: u32 = 256;
 
@@ -39,6 +41,8 @@
     sessions: RefCell<BTreeMap<u64, (Rc<Session>, AbortHandle)>>,
     next_session: Cell<u64>,
     next_handle: Cell<u64>,
+    /// Operations, until their replies are queued, of all clients.
+    room: Arc<Semaphore>,
 }
 
 #[derive(Clone)]
@@ -70,12 +74,12 @@
     }
 
     /// Whether a new fid may be made.
-    fn vacant(&self, fid: u32) -> Result<(), String> {
+    fn vacant(&self, fid: u32, most: usize) -> Result<(), String> {
         let fids = self.fids.borrow();
         if fid == NO_FID || fids.contains_key(&fid) {
             return Err("fid is in use".into());
         }
-        if fids.len() >= MOST_FIDS { Err("too many fids".into()) } else { Ok(()) }
+        if fids.len() >= most { Err("too many fids".into()) } else { Ok(()) }
     }
 }
 
@@ -83,6 +87,7 @@
 struct Tagged {
     session: Rc<Session>,
     tag: u16,
+    _room: OwnedSemaphorePermit,
 }
 
 impl Drop for Tagged {
@@ -107,11 +112,23 @@
     }
 }
 
+/// Reads what follows a message's first byte: the message without its length. `None` where it cannot be
+/// delimited, and so not be answered.
+async fn read_rest(reading: &mut OwnedReadHalf, first: u8, msize: u32) -> Option<Vec<u8>> {
+    let mut head = [first, 0, 0, 0];
+    reading.read_exact(&mut head[1..]).await.ok()?;
+    let length = frame_length(head, msize).ok()?;
+    let mut frame = vec![0; length - 4];
+    reading.read_exact(&mut frame).await.ok()?;
+    Some(frame)
+}
+
 impl NinepFront {
     /// A front that asks this hub for these tenants.
     pub fn new(hub: Rc<Hub>, config: Rc<Config>, tenants: Rc<RefCell<Registry>>) -> Rc<NinepFront> {
         let (sessions, next_session, next_handle) = Default::default();
-        Rc::new(NinepFront { hub, config, tenants, sessions, next_session, next_handle })
+        let room = Arc::new(Semaphore::new(config.bounds.open));
+        Rc::new(NinepFront { hub, config, tenants, sessions, next_session, next_handle, room })
     }
 
     /// Accepts clients for as long as the future is polled. `shared` marks those that came to an address
@@ -172,7 +189,9 @@
             let front = Rc::clone(&entry.front);
             let write = async {
                 while let Some(frame) = queue.recv().await {
-                    if writing.write_all(&frame).await.is_err() {
+                    // Guards against clients that ask and do not listen: what they hold would shut out others.
+                    let taken = tokio::time::timeout(TAKE_TIME, writing.write_all(&frame)).await;
+                    if !matches!(taken, Ok(Ok(()))) {
                         break;
                     }
                     held.unsent.set(held.unsent.get() - 1);
@@ -189,16 +208,19 @@
     /// Reads a client's messages until it goes, or breaks the protocol.
     async fn read(self: &Rc<Self>, session: &Rc<Session>, mut reading: OwnedReadHalf) {
         loop {
-            let mut head = [0; 4];
-            if reading.read_exact(&mut head).await.is_err() {
-                return;
-            }
-            // What cannot be delimited cannot be answered: the connection ends.
-            let Ok(length) = frame_length(head, session.msize.get()) else { return };
-            let mut frame = vec![0; length - 4];
-            if reading.read_exact(&mut frame).await.is_err() {
+            let mut first = [0; 1];
+            let first_byte = reading.read_exact(&mut first);
+            // A session may rest between messages, but not before it has begun, nor within a message.
+            let come = if session.ready.get() {
+                first_byte.await.is_ok()
+            } else {
+                matches!(tokio::time::timeout(WHOLE_TIME, first_byte).await, Ok(Ok(_)))
+            };
+            if !come {
                 return;
             }
+            let rest = read_rest(&mut reading, first[0], session.msize.get());
+            let Ok(Some(frame)) = tokio::time::timeout(WHOLE_TIME, rest).await else { return };
             let Ok((_, tag)) = peek(&frame) else { return };
             let Ok((_, message)) = Message::decode(&frame) else {
                 if !self.reply(session, tag, Message::Rerror { ename: "malformed message".into() }).await {
@@ -221,11 +243,12 @@
             if tag == NO_TAG || session.tags.borrow().contains_key(&tag) {
                 return;
             }
-            while session.tags.borrow().len() >= MOST_AT_ONCE {
+            while session.tags.borrow().len() >= self.config.bounds.ninep_at_once {
                 session.settled.notified().await;
             }
+            let Ok(room) = Arc::clone(&self.room).acquire_owned().await else { return };
             let (front, held) = (Rc::clone(self), Rc::clone(session));
-            let tagged = Tagged { session: Rc::clone(session), tag };
+            let tagged = Tagged { session: Rc::clone(session), tag, _room: room };
             let task = actix_rt::spawn(async move {
                 let reply = match front.answer(&held, message).await {
                     Ok(reply) => reply,
@@ -280,12 +303,12 @@
                 if afid != NO_FID {
                     return Err("no authentication needed".into());
                 }
-                session.vacant(fid)?;
+                session.vacant(fid, self.config.bounds.ninep_fids)?;
                 let export = self.tenants.borrow().export(&aname);
                 let export = export.ok_or_else(|| format!("unknown export {aname}"))?;
                 let new = Fid { export, uname, path: Vec::new(), open: None, handle: self.handle() };
                 let reply = self.ask(&new, Op::Attach).await?;
-                session.vacant(fid)?;
+                session.vacant(fid, self.config.bounds.ninep_fids)?;
                 if matches!(reply, Message::Rattach { .. }) {
                     session.fids.borrow_mut().insert(fid, new);
                 }
@@ -357,7 +380,7 @@
             return Err("fid is open".into());
         }
         if newfid != fid {
-            session.vacant(newfid)?;
+            session.vacant(newfid, self.config.bounds.ninep_fids)?;
         }
         if names.iter().any(|name| name.is_empty() || name.contains('/')) {
             return Err("malformed name".into());
@@ -370,7 +393,7 @@
                 name => path.push(name.to_owned()),
             }
         }
-        if path.len() > MOST_DEPTH {
+        if path.len() > MOST_DEPTH || path.iter().map(|name| name.len() + 1).sum::<usize>() > MOST_PATH {
             return Err("path is too deep".into());
         }
         let whole = names.len();
@@ -381,7 +404,7 @@
         };
         if matches!(&reply, Message::Rwalk { qids } if qids.len() == whole) {
             if newfid != fid {
-                session.vacant(newfid)?;
+                session.vacant(newfid, self.config.bounds.ninep_fids)?;
             }
             let to = Fid { path, handle: self.handle(), ..from };
             session.fids.borrow_mut().insert(newfid, to);
--- a/src/hub.rs
+++ b/src/hub.rs
@@ -85,6 +85,11 @@
         self.exchange.borrow().open()
     }
 
+    /// Whether an attempt is out at a node.
+    pub fn in_flight(&self, node: NodeId) -> bool {
+        self.exchange.borrow().in_flight(node)
+    }
+
     /// Takes a request; `None` where there is no room for it.
     pub fn request(self: &Rc<Self>, ask: Ask, job: Job) -> Option<Ticket> {
         let (sender, answer) = oneshot::channel();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod front;
 pub mod head;
 pub mod hub;
+pub mod ids;
 pub mod ninep;
 pub mod tenants;
 pub mod vrrp;
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -36,6 +36,10 @@
                         } else if line == "close" {
                             let _ = writer.write_all(&bytes);
                             return;
+                        } else if line == "linger" {
+                            let _ = writer.write_all(&bytes);
+                            thread::sleep(Duration::from_millis(1));
+                            return;
                         } else if line == "later" {
                             bytes.extend(b"\r\n");
                             let _ = writer.write_all(&std::mem::take(&mut bytes));
@@ -56,6 +60,44 @@
     (address, script, connections)
 }
 
+#[test]
+fn boxes_that_are_replaced_leave_nothing_behind() {
+    let entry = |i: usize, address: std::net::SocketAddr, lifecycle: &str| {
+        json!({"instanceId": format!("s-{i}"), "hostPort": address.to_string(), "zone": "a", "cell": 3,
+            "machineType": "m", "lifecycle": lifecycle, "weight": 1.0, "startedAtMs": 0})
+    };
+    let boxes: Vec<_> = (0..30).map(|_| scripted()).collect();
+    let discovery = Discovery::start(vec![entry(0, boxes[0].0, "ready")]);
+    let program = Program::start(&config(discovery.address), None);
+    let mut first = None;
+    for (i, (address, _, connections)) in boxes.iter().enumerate() {
+        discovery.set(vec![entry(i, *address, "ready")]);
+        while connections.load(Ordering::SeqCst) == 0 {
+            program.ask(&write_request("a0", 1000));
+            thread::sleep(Duration::from_millis(5));
+        }
+        first.get_or_insert(program.descriptors());
+    }
+    thread::sleep(Duration::from_millis(100));
+    let (first, last) = (first.expect("a box"), program.descriptors());
+    assert!(last <= first + 4, "{first} descriptors at the first box, {last} at the last");
+}
+
+#[test]
+fn a_connection_rests_behind_an_answer_so_that_its_end_is_heard() {
+    let (address, script, _) = scripted();
+    let entry = json!({"instanceId": "s-1", "hostPort": address.to_string(), "zone": "a", "machineType": "m",
+        "cell": 3, "lifecycle": "ready", "weight": 1.0, "startedAtMs": 0});
+    let program = Program::start(&config(Discovery::start(vec![entry]).address), None);
+    thread::sleep(Duration::from_millis(100));
+    // The box closes a moment after each answer and says nothing of it.
+    *script.lock().expect("a script") = format!("{OWN}\nlinger");
+    for i in 0..40 {
+        let (head, _) = program.ask(&write_request("a0", 1000));
+        assert!(head.starts_with("HTTP/1.1 200"), "write {i}: {head}");
+    }
+}
+
 #[test]
 fn answers_come_out_whole_or_as_failed_and_never_as_the_next_ones() {
     let (address, script, connections) = scripted();
@@ -64,6 +106,8 @@
     let program = Program::start(&config(Discovery::start(vec![entry]).address), None);
     thread::sleep(Duration::from_millis(100));
     let ask = || {
+        // By then a connection has rested, and is used again.
+        thread::sleep(Duration::from_millis(50));
         let (head, body) = program.ask(&write_request("a0", 1000));
         format!("{} {}", head.split(' ').nth(1).unwrap_or_default(), body.trim_end())
     };
--- a/tests/ninep.rs
+++ b/tests/ninep.rs
@@ -267,3 +267,26 @@
     assert!(first + second > 500.0, "served {first} and {second}");
     assert!((share - 0.5).abs() < 0.025, "served {first} and {second}");
 }
+
+#[test]
+fn a_9p_client_that_says_nothing_or_half_of_it_is_closed_and_one_that_rests_is_not() {
+    let node = StandIn::start("s-1", 3, Duration::ZERO, Fault::None);
+    let discovery = Discovery::start(vec![node.entry("ready")]);
+    let program = Program::start(&config(discovery.address), Some(&operator(&[&node])));
+    let address = program.ninep.expect("9P");
+    let mut resting = Client::attach(address, "press");
+    let silent = TcpStream::connect(address).expect("a connection");
+    let mut half = Client::attach(address, "press");
+    let clunk = Message::Tclunk { fid: 9 }.encode(1);
+    half.stream.write_all(&clunk[..6]).expect("sent");
+    let begun = Instant::now();
+    for mut stream in [silent, half.stream] {
+        stream.set_read_timeout(Some(Duration::from_secs(10))).expect("a timeout");
+        assert!(matches!(stream.read(&mut [0; 1]), Ok(0)), "it stays open");
+    }
+    assert!(begun.elapsed() < Duration::from_secs(3), "{:?}", begun.elapsed());
+    assert!(matches!(resting.walk(1, &["proof"]), Message::Rwalk { .. }));
+    // Paths are bounded in length, whatever their depth.
+    let long = "x".repeat(5000);
+    assert!(matches!(resting.walk(2, &[&long]), Message::Rerror { .. }));
+}
--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -530,6 +530,11 @@
         self.signal("-TERM");
     }
 
+    /// Descriptors that it holds.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("its descriptors").count()
+    }
+
     /// Replaces its configuration and sends SIGHUP.
     pub fn reload(&self, config: &str) {
         std::fs::write(&self.config, config).expect("a file");
