Hand on answers over 64 KiB, within a share of the memory

At fault: MOST_BODY, 64 KiB, used for answers (http.rs, limit() before, Whole since). Now an answer has 1 to 4 MiB by memory, and all on their way a quarter of it; 3 GB is still turned away by its length.

--- a/src/back/answer.rs
+++ b/src/back/answer.rs
@@ -9,9 +9,11 @@
 use actix_http::header;
 use actix_rt::net::{ActixStream, Ready, TcpStream};
 use bytes::{Buf, BytesMut};
+use std::cell::Cell;
 use std::fmt::Write;
 use std::io;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll};
 
 /// The largest head of an answer.
@@ -23,10 +25,51 @@
 /// The headers of an answer that are read.
 pub const READ_HEADERS: [&str; 3] = ["Not-Started", "X-Iops-Used", "X-Rho"];
 
+/// The bytes that bodies of answers may take up, all together and one by one. An answer that the settings call
+/// small can be large: boxes send 400 KB on some days.
+#[derive(Clone, Debug)]
+pub struct Room {
+    left: Rc<Cell<usize>>,
+    most_body: usize,
+}
+
+impl Room {
+    /// Room for so many bytes, and so many to a body.
+    pub fn new(all: usize, most_body: usize) -> Room {
+        Room { left: Rc::new(Cell::new(all)), most_body }
+    }
+}
+
+/// What a body takes up of the room, until it is handed on.
+#[derive(Debug)]
+struct Taken {
+    room: Room,
+    bytes: usize,
+}
+
+impl Taken {
+    fn grow(&mut self, bytes: u64) -> io::Result<()> {
+        let bytes = usize::try_from(bytes).unwrap_or(usize::MAX);
+        if bytes > self.room.most_body - self.bytes {
+            return Err(spoilt("a body over the limit"));
+        }
+        let left = self.room.left.get().checked_sub(bytes).ok_or_else(|| spoilt("no room for a body"))?;
+        self.room.left.set(left);
+        self.bytes += bytes;
+        Ok(())
+    }
+}
+
+impl Drop for Taken {
+    fn drop(&mut self) {
+        self.room.left.set(self.room.left.get() + self.bytes);
+    }
+}
+
 /// Reads one answer from the bytes of a connection.
 #[derive(Debug)]
 struct Reader {
-    most_body: usize,
+    taken: Taken,
     interim: usize,
     head: Option<ResponseHead>,
     stage: Stage,
@@ -49,8 +92,9 @@
 }
 
 impl Reader {
-    fn new(most_body: usize) -> Reader {
-        Reader { most_body, interim: 0, head: None, stage: Stage::Head(ClientCodec::default()) }
+    fn new(room: &Room) -> Reader {
+        let taken = Taken { room: room.clone(), bytes: 0 };
+        Reader { taken, interim: 0, head: None, stage: Stage::Head(ClientCodec::default()) }
     }
 
     /// Takes what has come; the head and the body once they are whole.
@@ -82,9 +126,7 @@
                     if length.is_some() == chunked {
                         return Err(spoilt("a body without one length"));
                     }
-                    if length.is_some_and(|length| length > self.most_body as u64) {
-                        return Err(spoilt("a body over the limit"));
-                    }
+                    self.taken.grow(length.unwrap_or(0))?;
                     if codec.message_type() == MessageType::None {
                         return Ok(Some((head, BytesMut::new())));
                     }
@@ -96,10 +138,10 @@
                     match codec.decode(inbox).map_err(|_| spoilt("a body that cannot be read"))? {
                         None => return Ok(None),
                         Some(Some(chunk)) => {
-                            body.extend_from_slice(&chunk);
-                            if body.len() > self.most_body {
-                                return Err(spoilt("a body over the limit"));
+                            if body.len() + chunk.len() > self.taken.bytes {
+                                self.taken.grow((body.len() + chunk.len() - self.taken.bytes) as u64)?;
                             }
+                            body.extend_from_slice(&chunk);
                         }
                         Some(None) => {
                             let body = std::mem::take(body);
@@ -116,7 +158,7 @@
 #[derive(Debug)]
 pub struct Whole {
     stream: TcpStream,
-    most_body: usize,
+    room: Room,
     /// The answer that is awaited, if one is.
     reader: Option<Reader>,
     inbox: BytesMut,
@@ -125,9 +167,9 @@
 }
 
 impl Whole {
-    /// Reads answers with bodies of at most so many bytes.
-    pub fn new(stream: TcpStream, most_body: usize) -> Whole {
-        Whole { stream, most_body, reader: None, inbox: BytesMut::new(), ready: BytesMut::new() }
+    /// Reads answers with bodies that there is room for.
+    pub fn new(stream: TcpStream, room: Room) -> Whole {
+        Whole { stream, room, reader: None, inbox: BytesMut::new(), ready: BytesMut::new() }
     }
 
     /// Reads what is there; 0 at the connection's end.
@@ -197,7 +239,7 @@
 impl AsyncWrite for Whole {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
-        this.reader.get_or_insert_with(|| Reader::new(this.most_body));
+        this.reader.get_or_insert_with(|| Reader::new(&this.room));
         Pin::new(&mut this.stream).poll_write(cx, buf)
     }
 
--- a/src/back/http.rs
+++ b/src/back/http.rs
@@ -1,7 +1,7 @@
 //! Attempts over HTTP/1.1, with awc.
 
 use super::Reply;
-use super::answer::Whole;
+use super::answer::{Room, Whole};
 use crate::api::{Ending, Micros};
 use crate::exchange::Ended;
 use crate::ids::HeldId;
@@ -19,7 +19,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// The largest body of a message.
+/// The largest body of a request.
 pub const MOST_BODY: usize = 64 * 1024;
 
 /// How long a connection rests behind an answer before it is used again.
@@ -44,15 +44,13 @@
     pub held: Option<HeldId>,
 }
 
-/// Limits that a client works with.
+/// Spans that a client works with.
 #[derive(Clone, Copy, Debug)]
 pub struct Spans {
     /// A connection not made by then is given up.
     pub dial: Duration,
     /// Nodes close connections that stood idle for so long.
     pub idle: Duration,
-    /// The largest body of an answer.
-    pub most_body: usize,
 }
 
 /// The HTTP client of the program: one with a pool of connections for each address, so that those to a node
@@ -60,18 +58,19 @@
 pub struct HttpBack {
     clients: RefCell<BTreeMap<SocketAddr, Client>>,
     spans: Spans,
+    room: Room,
 }
 
 /// A client that queues nothing, follows nothing, and has no clock but the caller's.
-pub fn client(spans: Spans) -> Client {
-    let most_body = spans.most_body;
+pub fn client(spans: Spans, room: &Room) -> Client {
+    let room = room.clone();
     // Guards against Nagle's algorithm, which awc leaves on: the last part of a large write would wait for
     // an acknowledgement that the node delays.
     let dial =
         TcpConnector::new(Resolver::default()).service().map(move |made: Connection<Uri, TcpStream>| {
             let _ = made.io_ref().set_nodelay(true);
             let (stream, uri) = made.into_parts();
-            Connection::new(uri, Whole::new(stream, most_body))
+            Connection::new(uri, Whole::new(stream, room.clone()))
         });
     let connector = Connector::new()
         .connector(dial)
@@ -83,9 +82,9 @@
 }
 
 impl HttpBack {
-    /// A client with these spans.
-    pub fn new(spans: Spans) -> HttpBack {
-        HttpBack { clients: RefCell::default(), spans }
+    /// A client with these spans, and this room for answers.
+    pub fn new(spans: Spans, room: Room) -> HttpBack {
+        HttpBack { clients: RefCell::default(), spans, room }
     }
 
     /// Closes all idle connections. Those in use stay until their attempts end.
@@ -100,7 +99,12 @@
 
     /// Makes one attempt. Dropping the future closes its connection.
     pub async fn attempt(&self, address: SocketAddr, left: Micros, job: &HttpJob) -> Ended<Reply> {
-        let client = self.clients.borrow_mut().entry(address).or_insert_with(|| client(self.spans)).clone();
+        let client = self
+            .clients
+            .borrow_mut()
+            .entry(address)
+            .or_insert_with(|| client(self.spans, &self.room))
+            .clone();
         let url = format!("http://{address}{}", job.target);
         let mut request = client
             .request(job.method.clone(), url)
--- a/src/back/mod.rs
+++ b/src/back/mod.rs
@@ -1,6 +1,6 @@
 //! The client side: makes attempts at nodes, each over the wire that its job came in.
 
-mod answer;
+pub mod answer;
 pub mod http;
 pub mod ninep;
 
--- a/src/config.rs
+++ b/src/config.rs
@@ -85,6 +85,10 @@
     pub most_clients: usize,
     /// Requests that memory has room for, each with a full body on either side.
     pub open: usize,
+    /// Bytes that bodies of answers may take up on their way, all together.
+    pub answers: usize,
+    /// The largest body of an answer.
+    pub answer: usize,
     /// The most 9P clients.
     pub ninep_clients: usize,
     /// Operations of one 9P client at once; past it the client's socket is not read.
@@ -102,6 +106,8 @@
             clients,
             most_clients,
             open: (4 * memory_mb).max(most_clients),
+            answers: memory_mb << 18,
+            answer: (memory_mb << 15).clamp(1 << 20, 4 << 20),
             ninep_clients: (sockets / 6).min(memory_mb).max(1),
             ninep_at_once: (memory_mb / 4).clamp(4, 64),
             ninep_fids: (4 * memory_mb).clamp(64, 4096),
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -2,6 +2,7 @@
 
 use crate::api::{Listed, Micros, NodeId, Readiness, Scope};
 use crate::back::Backs;
+use crate::back::answer::Room;
 use crate::back::http::{Spans, client};
 use crate::config::Config;
 use crate::hub::Hub;
@@ -73,7 +74,10 @@
 }
 
 fn fresh_client() -> Client {
-    client(Spans { dial: Duration::from_secs(1), idle: Duration::from_secs(60), most_body: MOST_LIST })
+    client(
+        Spans { dial: Duration::from_secs(1), idle: Duration::from_secs(60) },
+        &Room::new(MOST_LIST, MOST_LIST),
+    )
 }
 
 /// Watches discovery for one program.
--- a/src/head.rs
+++ b/src/head.rs
@@ -2,7 +2,8 @@
 
 use crate::admin::Api;
 use crate::back::Backs;
-use crate::back::http::{HttpBack, MOST_BODY, Spans};
+use crate::back::answer::Room;
+use crate::back::http::{HttpBack, Spans};
 use crate::back::ninep::NinepBack;
 use crate::clock::Clock;
 use crate::config::{Config, Sources};
@@ -150,8 +151,9 @@
         let config = Rc::new(config);
         let clock = Clock::start();
         let (dial, idle) = (Duration::from_micros(config.dial), Duration::from_micros(config.idle));
-        let spans = Spans { dial, idle, most_body: MOST_BODY };
-        let backs = Backs::new(HttpBack::new(spans), NinepBack::new(spans.dial));
+        let spans = Spans { dial, idle };
+        let room = Room::new(config.bounds.answers, config.bounds.answer);
+        let backs = Backs::new(HttpBack::new(spans, room), NinepBack::new(spans.dial));
         for node in &config.operator.boxes {
             backs.ninep.addresses.borrow_mut().insert(backs.names.node(&node.id), node.address);
         }
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -33,6 +33,8 @@
                         if let Some(text) = line.strip_prefix("<") {
                             bytes.extend(if bytes.is_empty() { "" } else { "\r\n" }.bytes());
                             bytes.extend(text.strip_prefix(' ').unwrap_or(text).bytes());
+                        } else if let Some(count) = line.strip_prefix('x') {
+                            bytes.extend(b"\r\n".iter().chain(&vec![b'x'; count.parse().expect("a number")]));
                         } else if line == "close" {
                             let _ = writer.write_all(&bytes);
                             return;
@@ -109,6 +111,7 @@
         // By then a connection has rested, and is used again.
         thread::sleep(Duration::from_millis(50));
         let (head, body) = program.ask(&write_request("a0", 1000));
+        let body = if body.len() > 1000 { format!("x{}", body.len()) } else { body };
         format!("{} {}", head.split(' ').nth(1).unwrap_or_default(), body.trim_end())
     };
     let mut played = 0;
