Count an attempt that later ones have overtaken as stuck, not as its node's load

At fault: judge() in control.rs took a time-out's double for the node's latency, and send() counted the attempt against the bound until it ended, though later ones were answered meanwhile. Now three answers to later attempts mark one as stuck. The test in tests/failures.rs fails without the change (2 leave in place of at least 4).

--- a/src/control.rs
+++ b/src/control.rs
@@ -48,6 +48,8 @@
 const STANDSTILL: Micros = 50_000;
 /// Attempts in a row that found nobody before a node counts as down: one or two may be the link's doing.
 const DOWN_MISSES: u32 = 3;
+/// Answers to later attempts after which one that is out counts as stuck: a few, as nodes serve some at once.
+const STUCK: u32 = 3;
 /// Wait between trials of a node that is down (us): a fair part of a client's patience.
 const TRIAL_WAIT: Micros = SECOND / 2;
 /// First wait before a failed subscription is renewed (us); doubles up to a quarter of `ask_within`.
@@ -373,6 +375,8 @@
     sent_at: Micros,
     key: u64,
     units: f64,
+    /// Answers of its node to attempts that left later.
+    overtaken: u32,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -674,8 +678,14 @@
         node.cold.tokens -= held.ask.units;
         let class = &self.settings.classes[held.ask.class];
         node.aim = node.aim.min(class.aim);
-        let attempt =
-            Attempt { node: name, cell: node.cell, sent_at: now, key: held.ask.key, units: held.ask.units };
+        let attempt = Attempt {
+            node: name,
+            cell: node.cell,
+            sent_at: now,
+            key: held.ask.key,
+            units: held.ask.units,
+            overtaken: 0,
+        };
         self.attempts.insert((id, held.attempts as u8), attempt);
         if held.attempts > 0 {
             self.extras.push_back(now);
@@ -705,7 +715,16 @@
         let Some(attempt) = self.attempts.remove(&(id, outcome.attempt)) else { return };
         let name = attempt.node;
         if let Some(node) = self.nodes.get_mut(&name) {
-            node.out = node.out.saturating_sub(1);
+            node.out = node.out.saturating_sub(u32::from(attempt.overtaken < STUCK));
+            // Guards against a connection that fell silent: nodes take requests in turn, so what several
+            // later ones have overtaken is stuck, and holds none of the places there.
+            let later = self.attempts.values_mut().filter(|other| {
+                outcome.ending == Ending::Ok && other.node == name && other.sent_at < attempt.sent_at
+            });
+            for other in later {
+                other.overtaken += 1;
+                node.out = node.out.saturating_sub(u32::from(other.overtaken == STUCK));
+            }
             Self::judge(node, &attempt, &outcome, now);
         }
         let unsure = matches!(outcome.ending, Ending::Timeout | Ending::Reset | Ending::Cancelled);
@@ -772,9 +791,12 @@
             }
             Ending::Timeout => {
                 // The answer was still to come: it counts as twice as long, at a node that had answered less.
-                node.missed = (node.missed + 1).min(DOWN_MISSES - 1).max(node.missed);
-                node.learn(node.latency.max(2.0 * outcome.took as f64), now);
-                node.crowded(attempt.sent_at, now);
+                // Where later ones were answered it is this one that is stuck, and tells nothing of the node.
+                if attempt.overtaken == 0 {
+                    node.missed = (node.missed + 1).min(DOWN_MISSES - 1).max(node.missed);
+                    node.learn(node.latency.max(2.0 * outcome.took as f64), now);
+                    node.crowded(attempt.sent_at, now);
+                }
             }
             Ending::Cancelled | Ending::Moot => {}
         }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -356,3 +356,36 @@
     let more = feed(&mut c, now + MS, Event::Request(request(23, 0, Some(1), now + 2 * SECOND)));
     assert_eq!(sent(&more), []);
 }
+
+/// Silent connections: an attempt on one held a place at its node until its time was over, and its time-out
+/// counted as the node's latency, though all that left later was answered.
+#[test]
+fn an_attempt_that_later_ones_overtake_holds_no_place_and_tells_nothing_of_its_node() {
+    let (mut c, _) = started(vec![listed(1, 1, 0, Readiness::Ready)]);
+    let mut now = 2 * SECOND;
+    let ask = |c: &mut Controller, now, id| {
+        sent(&feed(c, now, Event::Request(request(id, 0, Some(1), now + 2 * SECOND)))).len()
+    };
+    // Three are silent; what leaves after them is answered.
+    for id in 1..=3 {
+        assert_eq!(ask(&mut c, now, id), 1);
+        now += MS;
+    }
+    for id in 10..15 {
+        assert_eq!(ask(&mut c, now, id), 1);
+        now += 10 * MS;
+        feed(&mut c, now, Event::Outcome(ended(id, 0, 1, Ending::Ok, 10 * MS)));
+    }
+    // Their places are free for others.
+    let at_once: usize = (20..26).map(|id| ask(&mut c, now, id)).sum();
+    assert!(at_once >= 4, "{at_once} left");
+    for id in 20..26 {
+        feed(&mut c, now + 10 * MS, Event::Outcome(ended(id, 0, 1, Ending::Ok, 10 * MS)));
+    }
+    // Their time-outs shut nobody out.
+    now += 900 * MS;
+    for id in 1..=3 {
+        feed(&mut c, now, Event::Outcome(ended(id, 0, 1, Ending::Timeout, 950 * MS)));
+    }
+    assert_eq!(ask(&mut c, now + MS, 30), 1);
+}
