Forget volumes that nobody asks for any more

By reading: take() in control.rs added every volume ever named and nothing removed one; a client may name new ones for ever. The test in tests/failures.rs counts the state over six rounds of 500 new volumes.

--- a/src/control.rs
+++ b/src/control.rs
@@ -42,6 +42,8 @@
 const MEMORY: f64 = 1e6;
 /// Weight of the last period in what a volume asks: two periods, as surges start within one.
 const ASK_GAIN: f64 = 0.5;
+/// Time after its last request's latest deadline at which a volume is forgotten (us): past any surge.
+const VOLUME_IDLE: Micros = 60 * SECOND;
 /// Time between looks at what is held (us): far under the shortest aim, and cheap.
 const LOOK: Micros = 5_000;
 /// A timer later than this tells of a standstill of the dispatcher itself (us): many looks.
@@ -229,6 +231,8 @@
     limit: Bucket,
     /// Units a second over the limit that all dispatchers' parts together may fill at.
     lift: f64,
+    /// When its last request came.
+    used: Micros,
 }
 
 impl Volume {
@@ -237,7 +241,7 @@
         // a third of its part. Costs the first burst after a start.
         let limit = Bucket { tokens: plan.limit_burst / hosts / 3.0, at: now };
         let reserve = Bucket { tokens: plan.reserve / hosts, at: now };
-        Volume { plan, hosts, reserve, limit, lift: 0.0 }
+        Volume { plan, hosts, reserve, limit, lift: 0.0, used: now }
     }
 
     /// Whether the limit lets `units` leave now. Part of each dispatcher: an even one of rate and burst.
@@ -442,6 +446,11 @@
                 self.awake_by = now + PERIOD;
                 actions.push(Action::Timer { at: now + PERIOD, token: TOKEN_PERIOD });
                 self.period();
+                // Guards against growing with every volume ever asked for. The stores of an idle one are
+                // full; a new one starts with less.
+                let deadlines = self.settings.classes.iter().map(|class| class.deadline);
+                let longest = deadlines.max().unwrap_or(0);
+                self.volumes.retain(|_, volume| now < volume.used + longest + VOLUME_IDLE);
                 self.turns.retain(|_, turn| !turn.queue.is_empty() || now < turn.rest_until);
                 self.look(now, actions);
             }
@@ -531,7 +540,8 @@
         let spent = if left > class.aim { patience.saturating_sub(left) } else { class.aim - left };
         let due = (now + class.aim).saturating_sub(spent);
         let plan = self.settings.plans.get(ask.plan).cloned().unwrap_or_default();
-        self.volumes.entry(volume).or_insert_with(|| Volume::new(plan, hosts, now)).hosts = hosts;
+        let known = self.volumes.entry(volume).or_insert_with(|| Volume::new(plan, hosts, now));
+        (known.hosts, known.used) = (hosts, now);
         if !class.in_turn {
             ask.key = 0;
         } else if ask.key != 0 {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -389,3 +389,27 @@
     }
     assert_eq!(ask(&mut c, now + MS, 30), 1);
 }
+
+/// Long days: state for every volume ever asked for grew for ever.
+#[test]
+fn volumes_that_are_not_asked_for_any_more_are_forgotten() {
+    let (mut c, _) = started(vec![listed(1, 1, 0, Readiness::Ready)]);
+    let mut now = 2 * SECOND;
+    let size = |c: &Controller| format!("{c:?}").len();
+    let mut sizes = Vec::new();
+    for minute in 0..6 {
+        for i in 0..500 {
+            let id = minute * 1000 + i;
+            let volume = u64::from(id) + 1;
+            let request = Request { volume, ..request(id, 0, Some(1), now + 2 * SECOND) };
+            feed(&mut c, now, Event::Request(request));
+            feed(&mut c, now + MS, Event::Outcome(ended(id, 0, 1, Ending::Ok, MS)));
+            now += 100 * MS;
+            if i % 10 == 0 {
+                feed(&mut c, now, Event::Timer { token: 1 });
+            }
+        }
+        sizes.push(size(&c));
+    }
+    assert!(sizes[5] < sizes[2] + sizes[2] / 10, "{sizes:?}");
+}
