Ask a node that falls silent by one request more before its attempts time out

In single nodes one large read on a silent connection held the only place for up to 300 ms, the believed latency growing with the silence, while other requests of 2 to 6 ms of age were refused. At fault: choose() in control.rs let nothing leave while the bound was full, so that no later answer could tell a stuck connection from a silent node. Now, after a silence of four latencies or a quarter of the aim, one request more leaves, and one more after each further such time. Its answer marks what left so long before it as stuck. The test in tests/failures.rs fails without the change ("nothing asks the node").

--- a/src/control.rs
+++ b/src/control.rs
@@ -287,6 +287,8 @@
     told: Micros,
     trial_at: Micros,
     missed: u32,
+    /// When an attempt last left.
+    left: Micros,
 }
 
 impl Node {
@@ -312,6 +314,11 @@
         NODE_PART * self.aim as f64
     }
 
+    /// The silence after which a node, or an attempt there, is doubted (us).
+    fn doubt(&self) -> Micros {
+        (4.0 * self.latency).max(self.aim as f64 / 4.0) as Micros
+    }
+
     /// Takes one answer's latency.
     fn learn(&mut self, took: f64, now: Micros) {
         let alone = 1.0 - (-(now.saturating_sub(self.told) as f64) / MEMORY).exp();
@@ -609,7 +616,10 @@
         if node.held.is_empty() || node.down() && (now < node.trial_at || node.out > 0) {
             return None;
         }
-        if node.out > 0 {
+        // Guards against taking a connection that fell silent for a silent node: one request more asks it,
+        // and one more after each further silence. Harms a node that does stand still, by that much.
+        let silent = node.out > 0 && now > node.heard.max(node.left) + node.doubt();
+        if node.out > 0 && !silent {
             let full = f64::from(node.out) >= node.bound.floor();
             // While the node is over its aim, the loop's rate rations what leaves.
             let rate = node.tuner.rate;
@@ -660,7 +670,7 @@
         // Guards against a belief that nothing can change: where nothing is out no answer tells that a stall
         // is over. Soon after the last news one late request goes to see.
         let stale = now > node.told + node.aim / 4;
-        spare.or(late.filter(|_| node.out == 0 && (stale || !crowded)))
+        spare.or(late.filter(|_| silent || node.out == 0 && (stale || !crowded)))
     }
 
     fn send(&mut self, id: RequestId, name: NodeId, now: Micros, actions: &mut Vec<Action>) {
@@ -682,6 +692,7 @@
         if node.out == 0 {
             node.heard = now;
         }
+        node.left = now;
         node.gate.tokens -= held.ask.units;
         node.sent += held.ask.units;
         node.out += 1;
@@ -732,8 +743,12 @@
                 outcome.ending == Ending::Ok && other.node == name && other.sent_at < attempt.sent_at
             });
             for other in later {
-                other.overtaken += 1;
-                node.out = node.out.saturating_sub(u32::from(other.overtaken == STUCK));
+                // One that left long after it says as much as a few.
+                let long = attempt.sent_at > other.sent_at + node.doubt();
+                let steps = if long { STUCK } else { 1 };
+                let before = other.overtaken;
+                other.overtaken = (before + steps).min(STUCK);
+                node.out = node.out.saturating_sub(u32::from(before < STUCK && other.overtaken == STUCK));
             }
             Self::judge(node, &attempt, &outcome, now);
         }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -390,6 +390,32 @@
     assert_eq!(ask(&mut c, now + MS, 30), 1);
 }
 
+/// Silent connections: the ones out at a node filled its bound, and nothing else left for it until their time
+/// was over, which for a large read is long after every small one's aim.
+#[test]
+fn a_node_that_falls_silent_is_asked_again_before_its_attempts_time_out() {
+    let (mut c, _) = started(vec![listed(1, 1, 0, Readiness::Ready)]);
+    let mut now = 2 * SECOND;
+    run_one_by_one(&mut c, &mut now, 1..9, Ending::Ok, 10 * MS);
+    let ask = |c: &mut Controller, now, id| {
+        sent(&feed(c, now, Event::Request(request(id, 0, Some(1), now + 2 * SECOND))))
+    };
+    feed(&mut c, now, Event::Timer { token: 1 });
+    // As many as may be out all fall silent; what comes then waits.
+    let filled = (20..60).take_while(|id| !ask(&mut c, now, *id).is_empty()).count();
+    assert!((2..30).contains(&filled), "{filled} left");
+    let mut asked = Vec::new();
+    while asked.is_empty() {
+        now += 5 * MS;
+        asked = sent(&feed(&mut c, now, Event::Timer { token: 2 }));
+        assert!(now < 3 * SECOND, "nothing asks the node");
+    }
+    assert_eq!(asked.len(), 1, "one at a time: {asked:?}");
+    // It is answered: those before it are stuck, and hold no place.
+    feed(&mut c, now + 10 * MS, Event::Outcome(ended(asked[0].0, 0, 1, Ending::Ok, 10 * MS)));
+    assert_eq!(ask(&mut c, now + 11 * MS, 70), [(70, 1)]);
+}
+
 /// Long days: state for every volume ever asked for grew for ever.
 #[test]
 fn volumes_that_are_not_asked_for_any_more_are_forgotten() {
