Serve those that are connected after SIGTERM until shortly before the kill

Logs: a head ended 0.61 s after SIGTERM, and its next start came 2.74 s after SIGTERM in all eight stops. Probe: with 1.5 s in place of 0.6 s, and idle connections kept, the head ended after 1.59 s and the next start still came 2.75 s after SIGTERM. So an early end gains nothing, and all who had a connection lost it for 2 s. At fault: drain() in head.rs closed idle connections and told the others to close from the first moment. Now connections stay until the tightest aim and 0.2 s before the earliest kill, and what comes is answered by 0.2 s before it. The exchange holds to that, not the module, which takes a short time for a client's late try.

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -129,6 +129,7 @@
     timers: BinaryHeap<Reverse<(Micros, Due)>>,
     next: RequestId,
     most_open: usize,
+    end_by: Micros,
     now: Micros,
     effects: VecDeque<Effect<J, R>>,
 }
@@ -143,6 +144,7 @@
             timers: BinaryHeap::new(),
             next: 0,
             most_open,
+            end_by: Micros::MAX,
             now: 0,
             effects: VecDeque::new(),
         }
@@ -168,6 +170,12 @@
         self.flights.values().any(|flight| flight.node == node)
     }
 
+    /// From now on requests are answered by this time, however long their clients would wait. The controller is
+    /// not told: it would take them for late tries.
+    pub fn end_by(&mut self, at: Micros) {
+        self.end_by = at;
+    }
+
     /// Takes a request; `None` where there is no room for it.
     pub fn request(&mut self, now: Micros, ask: Ask, job: J) -> Option<RequestId> {
         if self.open.len() >= self.most_open {
@@ -176,10 +184,13 @@
         let id = self.next;
         self.next = self.next.wrapping_add(1);
         let Ask { class, plan, key, deadline, volume, units, cell, hosts } = ask;
-        let last = deadline.saturating_sub(ANSWER_MARGIN / 2);
-        let deadline = deadline.saturating_sub(ANSWER_MARGIN);
-        self.open.insert(id, Open { job: Rc::new(job), deadline, sends: 0, out: None });
+        let limit = deadline.min(self.end_by);
+        let last = limit.saturating_sub(ANSWER_MARGIN / 2);
+        let open =
+            Open { job: Rc::new(job), deadline: limit.saturating_sub(ANSWER_MARGIN), sends: 0, out: None };
+        self.open.insert(id, open);
         self.timers.push(Reverse((last, Due::Deadline(id))));
+        let deadline = deadline.saturating_sub(ANSWER_MARGIN);
         let request = Request { id, class, plan, key, deadline, volume, units, cell, hosts };
         self.handle(now, Event::Request(request));
         Some(id)
--- a/src/head.rs
+++ b/src/head.rs
@@ -1,6 +1,7 @@
 //! The program from start to exit, as the named states of one object.
 
 use crate::admin::Api;
+use crate::api::Micros;
 use crate::back::Backs;
 use crate::back::answer::Room;
 use crate::back::http::{HttpBack, Spans};
@@ -17,7 +18,7 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{Notify, watch};
@@ -25,6 +26,11 @@
 
 /// How long clients may still connect after SIGTERM, and a little more.
 const STILL_COMING: Duration = Duration::from_millis(600);
+/// What comes between SIGTERM and SIGKILL at the least, past the longest deadline, which counts up to a bound.
+const KILL: Duration = Duration::from_millis(700);
+const KILL_DEADLINE: Duration = Duration::from_secs(3);
+/// Time before SIGKILL by which all is answered: a few turns of the program where it gets little of its core.
+const KILL_SPARE: Duration = Duration::from_millis(200);
 /// How long a connection must have been idle before it is closed on the way out.
 const RESTED: Duration = Duration::from_millis(60);
 /// Time between looks at the descriptors.
@@ -39,9 +45,9 @@
     Starting,
     /// Takes and answers requests.
     Serving,
-    /// Told to end: still takes requests, and closes connections behind the answers.
+    /// Told to end: still takes requests, on the connections that clients have.
     Draining,
-    /// Takes no connection any more; answers what it has taken.
+    /// Takes no connection any more; answers what it has taken, and closes connections behind the answers.
     Closing,
     /// All is answered.
     Ended,
@@ -250,20 +256,29 @@
         }
     }
 
+    /// The next start comes no sooner for an early end, and clients that lose their connection find no head in
+    /// the meantime. So those that they have stay for as long as what comes on them can be answered.
     async fn drain(&mut self) -> Phase {
-        self.front.closing.set(true);
         if let Some(vrrp) = &self.vrrp {
             vrrp.stop();
         }
-        let until = tokio::time::Instant::now() + STILL_COMING;
-        while tokio::time::Instant::now() < until {
-            self.front.connections.close_idle(usize::MAX, RESTED);
+        let classes = &self.config.settings.classes;
+        let longest = classes.iter().map(|class| class.deadline).max().unwrap_or(0);
+        let aim = classes.iter().map(|class| class.aim).min().unwrap_or(0);
+        let last = Duration::from_micros(longest).min(KILL_DEADLINE) + KILL - KILL_SPARE;
+        self.hub.end_by(self.hub.clock().now() + last.as_micros() as Micros);
+        let begun = Instant::now();
+        let stay = last.saturating_sub(Duration::from_micros(aim)).max(STILL_COMING);
+        let left = || self.front.connections.count() + self.ninep.count() + self.hub.open();
+        while begun.elapsed() < STILL_COMING || (begun.elapsed() < stay && left() > 0) {
+            self.front.connections.sweep(self.config.bounds.clients);
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
         Phase::Closing
     }
 
     async fn close(&mut self) -> Phase {
+        self.front.closing.set(true);
         self.accepting.drain(..).for_each(|accepting| accepting.abort());
         while self.front.connections.count() + self.ninep.count() + self.hub.open() > 0 {
             self.front.connections.close_idle(usize::MAX, RESTED);
--- a/src/hub.rs
+++ b/src/hub.rs
@@ -90,6 +90,11 @@
         self.exchange.borrow().in_flight(node)
     }
 
+    /// From now on requests are answered by this time.
+    pub fn end_by(&self, at: Micros) {
+        self.exchange.borrow_mut().end_by(at);
+    }
+
     /// Takes a request; `None` where there is no room for it.
     pub fn request(self: &Rc<Self>, ask: Ask, job: Job) -> Option<Ticket> {
         let (sender, answer) = oneshot::channel();
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -146,3 +146,18 @@
     assert_eq!(run(&mut exchange, NOW + 1_000 * MS).len(), 8);
     assert_eq!(exchange.open(), 0);
 }
+
+/// Before the end of the program, what still comes is answered in time, and is no late try for that.
+#[test]
+fn what_comes_before_the_end_is_answered_by_then() {
+    let mut exchange = exchange();
+    exchange.end_by(NOW + 150 * MS);
+    for class in [0, 1, 0, 0, 0, 0, 0] {
+        assert!(exchange.request(NOW, ask(class), "job").is_some());
+    }
+    let sent =
+        |effect: &Effect<_, _>| matches!(effect, Effect::Send { until, .. } if *until < NOW + 150 * MS);
+    assert!(effects(&mut exchange).iter().filter(|effect| sent(effect)).count() >= 4);
+    assert_eq!(run(&mut exchange, NOW + 150 * MS).len(), 7);
+    assert_eq!(exchange.open(), 0);
+}
