Forget volumes past 2048 as soon as their requests are over

By reading: a volume was kept for a minute past its last request, however many there were; a client that names a new one with each of 1,000 requests a second would hold 64,000, some 20 MB of 32.

--- a/src/control.rs
+++ b/src/control.rs
@@ -44,6 +44,8 @@
 const ASK_GAIN: f64 = 0.5;
 /// Time after its last request's latest deadline at which a volume is forgotten (us): past any surge.
 const VOLUME_IDLE: Micros = 60 * SECOND;
+/// Volumes past which idle ones are forgotten at once: far more than a plant has, and under a megabyte.
+const MOST_VOLUMES: usize = 2048;
 /// Time between looks at what is held (us): far under the shortest aim, and cheap.
 const LOOK: Micros = 5_000;
 /// A timer later than this tells of a standstill of the dispatcher itself (us): many looks.
@@ -457,7 +459,9 @@
                 // full; a new one starts with less.
                 let deadlines = self.settings.classes.iter().map(|class| class.deadline);
                 let longest = deadlines.max().unwrap_or(0);
-                self.volumes.retain(|_, volume| now < volume.used + longest + VOLUME_IDLE);
+                // Where clients name ever new ones, they go as soon as no request of theirs can be open.
+                let kept = if self.volumes.len() > MOST_VOLUMES { longest } else { longest + VOLUME_IDLE };
+                self.volumes.retain(|_, volume| now < volume.used + kept);
                 self.turns.retain(|_, turn| !turn.queue.is_empty() || now < turn.rest_until);
                 self.look(now, actions);
             }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -472,3 +472,28 @@
     }
     assert!(sizes[5] < sizes[2] + sizes[2] / 10, "{sizes:?}");
 }
+
+/// Bad clients: names of volumes that do not exist were held for a minute each, however many there were.
+#[test]
+fn volumes_by_the_thousand_are_forgotten_once_their_requests_are_over() {
+    let (mut c, _) = started(vec![listed(1, 1, 0, Readiness::Ready)]);
+    let mut now = 2 * SECOND;
+    let size = |c: &Controller| format!("{c:?}").len();
+    let mut ask = |c: &mut Controller, ids: std::ops::Range<u32>| {
+        for id in ids {
+            let request = Request { volume: u64::from(id) + 1, ..request(id, 0, Some(1), now + 2 * SECOND) };
+            feed(c, now, Event::Request(request));
+            feed(c, now + MS, Event::Outcome(ended(id, 0, 1, Ending::Ok, MS)));
+            now += 2 * MS;
+        }
+        for _ in 0..20 {
+            now += SECOND;
+            feed(c, now, Event::Timer { token: 1 });
+        }
+    };
+    ask(&mut c, 0..1000);
+    let few = size(&c);
+    ask(&mut c, 1000..5000);
+    // No more than some two thousand are left of five.
+    assert!(size(&c) < 3 * few, "{} after {few}", size(&c));
+}
