--- a/src/bin/sedgerun-adapter.rs
+++ b/crates/adapter/src/main.rs
@@ -1,9 +1,9 @@
 //! Hosts many instances of the decision module on the simulator's wire: frames on standard input, replies
 //! on standard output. Ends with 0 at the end of input, and with one line on standard error otherwise.
 
-use sedgerun::Controller;
-use sedgerun::api::Action;
-use sedgerun::wire::{Record, Reply, WireError, read_batch};
+use sedgerun_adapter::wire::{Record, Reply, WireError, read_batch};
+use sedgerun_decide::Controller;
+use sedgerun_decide::api::Action;
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::process::ExitCode;
--- a/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -1,8 +1,7 @@
-//! Codec of the simulator wire `prairie-1d57`: frames to events, settings text to [`Settings`], actions to
-//! records. Translation only.
+//! Codec of the simulator wire `prairie-1d57`: frames to events, actions to records. Translation only.
 
-use crate::api::*;
-use std::collections::BTreeMap;
+use sedgerun_decide::api::*;
+use sedgerun_settings::read_settings;
 use std::fmt;
 
 /// What is wrong with the input, in one plain line.
@@ -140,7 +139,12 @@
                 Ok(text) => text,
                 Err(_) => return bad("malformed settings: not UTF-8"),
             };
-            return Ok(Record::Start { seed, settings: Box::new(read_settings(text)?) });
+            // One line is what an adapter may say; the first fault is the one to mend first.
+            let settings = read_settings(text).map_err(|faults| match faults.0.first() {
+                Some(first) => WireError(first.what.clone()),
+                None => WireError("malformed settings".into()),
+            })?;
+            return Ok(Record::Start { seed, settings: Box::new(settings) });
         }
         17 => {
             let scope = match r.u8()? {
@@ -238,157 +242,6 @@
     })
 }
 
-/// Settings as `path=value` lines.
-pub(crate) struct Pairs<'a>(BTreeMap<&'a str, &'a str>);
-
-impl<'a> Pairs<'a> {
-    /// Reads one pair a line; blank lines and lines that begin with `#` are passed over.
-    pub(crate) fn read(text: &'a str) -> Result<Pairs<'a>, WireError> {
-        let mut pairs = BTreeMap::new();
-        for line in text.lines().map(str::trim).filter(|line| !line.is_empty() && !line.starts_with('#')) {
-            match line.split_once('=') {
-                Some((key, value)) => pairs.insert(key.trim(), value.trim()),
-                None => return bad(format!("malformed settings line: {line}")),
-            };
-        }
-        Ok(Pairs(pairs))
-    }
-
-    /// The keys that are there.
-    pub(crate) fn keys(&self) -> impl Iterator<Item = &'a str> {
-        self.0.keys().copied()
-    }
-
-    pub(crate) fn text(&self, key: &str) -> Option<&str> {
-        self.0.get(key).copied()
-    }
-
-    /// A figure of at least `least`, or `absent` where the key is missing; `None` makes the key required.
-    pub(crate) fn figure(&self, key: &str, least: f64, absent: Option<f64>) -> Result<f64, WireError> {
-        match (self.text(key), absent) {
-            (None, Some(value)) => Ok(value),
-            (None, None) => bad(format!("setting {key} is missing")),
-            (Some(text), _) => match text.parse::<f64>() {
-                Ok(value) if value.is_finite() && (least..=1e15).contains(&value) => Ok(value),
-                Ok(value) => bad(format!("setting {key} is out of range: {value}")),
-                Err(_) => bad(format!("setting {key} is not a figure: {text}")),
-            },
-        }
-    }
-
-    fn span(&self, key: &str, absent: Option<f64>) -> Result<Micros, WireError> {
-        self.figure(key, 0.0, absent).map(|value| value as Micros)
-    }
-
-    pub(crate) fn flag(&self, key: &str, absent: bool) -> Result<bool, WireError> {
-        match self.text(key) {
-            None => Ok(absent),
-            Some("true") => Ok(true),
-            Some("false") => Ok(false),
-            Some(other) => bad(format!("setting {key} is neither true nor false: {other}")),
-        }
-    }
-
-    pub(crate) fn count(
-        &self,
-        key: &str,
-        least: f64,
-        most: f64,
-        absent: Option<f64>,
-    ) -> Result<u32, WireError> {
-        let value = self.figure(key, least, absent)?;
-        if value > most || value.fract() != 0.0 {
-            return bad(format!("setting {key} is out of range: {value}"));
-        }
-        Ok(value as u32)
-    }
-}
-
-/// Reads the settings of a `new_instance`. Unknown keys are ignored; absent optional ones mean that the
-/// rule they belong to does not apply.
-pub fn read_settings(text: &str) -> Result<Settings, WireError> {
-    let p = Pairs::read(text)?;
-    let mut classes = Vec::new();
-    for i in 0..p.count("classes.count", 1.0, 65535.0, None)? {
-        let key = |name: &str| format!("classes.{i}.{name}");
-        let repeat = match p.text(&key("repeat")) {
-            Some("free") => Repeat::Free,
-            Some("guarded") => Repeat::Guarded,
-            Some("single_shot") => Repeat::SingleShot,
-            Some(other) => return bad(format!("setting {} is unknown: {other}", key("repeat"))),
-            None => return bad(format!("setting {} is missing", key("repeat"))),
-        };
-        let group = match p.text(&key("group")) {
-            Some("all") => Group::All,
-            Some("zone") => Group::Zone,
-            Some("cell") | None => Group::Cell,
-            Some(other) => return bad(format!("setting {} is unknown: {other}", key("group"))),
-        };
-        classes.push(Class {
-            aim: p.figure(&key("goalTime"), 1.0, None)? as Micros,
-            deadline: p.figure(&key("deadline"), 1.0, None)? as Micros,
-            repeat,
-            group,
-            dedup_window: p.span(&key("dedupWindow"), Some(0.0))?,
-            in_turn: p.flag(&key("inTurn"), false)?,
-            worth: p.figure(&key("worth"), 0.0, Some(1.0))?,
-            late_worth: p.figure(&key("lateWorth"), 0.0, Some(0.0))?,
-        });
-    }
-    let mut plans = Vec::new();
-    for i in 0..p.count("plans.count", 0.0, 65535.0, Some(0.0))? {
-        let figure = |name: &str, absent| p.figure(&format!("plans.{i}.{name}"), 0.0, Some(absent));
-        plans.push(Plan {
-            nominal: figure("nominal", 0.0)?,
-            reserve: figure("reserve", 0.0)?,
-            weight: figure("weight", 1.0)?,
-            limit: figure("neverOver", 0.0)?,
-            limit_burst: figure("mostAtOnce", 0.0)?,
-            limit_slack: figure("slack", 0.0)?,
-            price: figure("pays", 1.0)?,
-        });
-    }
-    let rules = Rules {
-        answer_slack: p.span("rules.answerSlack", Some(0.0))?,
-        drain_grace: p.span("rules.drainGrace", Some(0.0))?,
-        start_capacity: p.figure("rules.startCapacity", 0.0, Some(0.0))?,
-        warm_within: p.span("rules.warmWithin", Some(0.0))?,
-        tip_multiple: p.figure("rules.tipMultiple", 0.0, Some(0.0))?,
-        fall: p.span("rules.fall", Some(0.0))?,
-        cold_units: p.figure("specifics.coldUnits", 0.0, Some(0.0))?,
-        order_pause: p.span("rules.orderPause", Some(0.0))?,
-        budget_window: p.span("rules.budgetWindow", Some(0.0))?,
-        free_resends: p.figure("rules.freeResends", 0.0, Some(0.0))?,
-        extra_per_request: p.figure("rules.extraPerRequest", 0.0, Some(0.0))?,
-        ask_within: p.span("rules.askWithin", Some(0.0))?,
-    };
-    let must_ask = match p.text("membershipMode") {
-        Some("subscribe") => true,
-        Some("automatic") | None => false,
-        Some(other) => return bad(format!("setting membershipMode is unknown: {other}")),
-    };
-    let told = p.flag("limits.retryAfter", true)?;
-    let permits = Permits {
-        must_ask,
-        cancel: p.flag("limits.cancel", false)?,
-        probe: p.flag("limits.probing", false)?,
-        max_attempts: p.count("limits.maxAttempts", 1.0, 255.0, Some(1.0))?,
-        max_retry_after: if told { p.span("limits.maxRetryAfter", Some(0.0))? } else { 0 },
-    };
-    Ok(Settings {
-        dispatchers: p.count("balancers", 1.0, 65535.0, None)?,
-        tick: p.span("period", Some(1000.0))?,
-        zone: p.count("zone", 0.0, 65535.0, Some(0.0))? as u16,
-        classes,
-        plans,
-        rules,
-        permits,
-        mean_units: p.figure("specifics.meanUnits", 0.0, Some(1.0))?,
-        top_units: p.figure("specifics.unitsTop", 0.0, Some(1.0))?,
-        meter_period: p.span("specifics.meterPeriod", Some(0.0))?,
-    })
-}
-
 /// The records of a reply, gathered over the instances of a batch.
 #[derive(Debug, Default)]
 pub struct Reply {
--- a/tests/wire.rs
+++ b/crates/adapter/tests/wire.rs
@@ -1,7 +1,8 @@
 //! The codec against frames made by hand, and the binary as a process.
 
-use sedgerun::api::*;
-use sedgerun::wire::{Record, Reply, read_batch, read_settings};
+use sedgerun_adapter::wire::{Record, Reply, read_batch};
+use sedgerun_decide::api::*;
+use sedgerun_settings::read_settings;
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
 
--- a/src/exchange.rs
+++ b/crates/core/src/exchange.rs
@@ -3,8 +3,8 @@
 //!
 //! Whatever the controller says, a request gets one final answer, in time, and has one attempt out at most.
 
-use crate::api::*;
-use crate::control::Controller;
+use sedgerun_decide::api::*;
+use sedgerun_decide::control::Controller;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 use std::rc::Rc;
--- a/tests/exchange.rs
+++ b/crates/core/tests/exchange.rs
@@ -1,7 +1,7 @@
 //! The exchange without sockets: one final answer for each request, one attempt out at a time.
 
-use sedgerun::api::*;
-use sedgerun::exchange::{Answer, Ask, Effect, Ended, Exchange};
+use sedgerun_core::exchange::{Answer, Ask, Effect, Ended, Exchange};
+use sedgerun_decide::api::*;
 
 const MS: Micros = 1_000;
 const NOW: Micros = 1_000_000_000;
--- a/tests/common/mod.rs
+++ b/crates/decide/tests/common/mod.rs
@@ -2,8 +2,8 @@
 //! every rule on what they do. It models no real node.
 #![allow(dead_code)]
 
-use sedgerun::api::*;
-use sedgerun::control::Controller;
+use sedgerun_decide::api::*;
+use sedgerun_decide::control::Controller;
 use std::collections::{BTreeMap, BTreeSet};
 
 pub const MS: Micros = 1_000;
--- a/tests/failures.rs
+++ b/crates/decide/tests/failures.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::*;
-use sedgerun::api::*;
-use sedgerun::control::{Controller, Loop, Period};
+use sedgerun_decide::api::*;
+use sedgerun_decide::control::{Controller, Loop, Period};
 
 fn started(nodes: Vec<Listed>) -> (Controller, Vec<Action>) {
     let mut controller = Controller::new(settings(), 5);
--- a/tests/rules.rs
+++ b/crates/decide/tests/rules.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use sedgerun::api::*;
+use sedgerun_decide::api::*;
 
 const CALM: Rough = Rough { rate: 60, bad: 1, slowest: 120, churn: 0 };
 const ROUGH: Rough = Rough { rate: 150, bad: 15, slowest: 400, churn: 12 };
--- a/src/admin.rs
+++ b/crates/head/src/admin.rs
@@ -1,17 +1,18 @@
 //! The administration API: tenants and their exports, listed, added, changed and removed, over HTTP with a
 //! bearer token, on a listener of its own.
 
-use crate::config::{Admin, Config, flatten};
+use crate::config::Config;
 use crate::front::ninep::NinepFront;
 use crate::hub::Hub;
+use crate::operator::Admin;
 use crate::tenants::{Export, Registry};
-use crate::vrrp::udp::Carrier;
-use crate::wire::Pairs;
+use crate::vrrp::Carrier;
 use actix_http::body::BoxBody;
 use actix_http::{ConnectionType, HttpMessage, HttpService, Method, Request, Response, StatusCode};
 use actix_service::{Service, ServiceFactory, fn_service};
 use bytes::BytesMut;
 use futures_util::StreamExt;
+use sedgerun_settings::{Pairs, platform::flatten};
 use serde_json::{Value, json};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -215,9 +216,9 @@
         }
         let mut pairs = BTreeMap::new();
         flatten("", &Value::Object(fields), &mut pairs);
-        let text: String = pairs.iter().map(|(key, value)| format!("{key}={value}\n")).collect();
-        let pairs = Pairs::read(&text).map_err(|error| error.0)?;
-        Export::read(&pairs, "", &self.config).map(|(_, export)| export)
+        let pairs = Pairs::from_map(&pairs);
+        let (_, export) = Export::read(&pairs, "", self.config.catalogue());
+        pairs.finish(export).map_err(|faults| faults.to_string())
     }
 
     fn tenant(&self, name: &str, exports: &BTreeMap<String, Rc<Export>>) -> Value {
--- a/src/back/http.rs
+++ b/crates/head/src/back/http.rs
@@ -2,8 +2,6 @@
 
 use super::Reply;
 use super::answer::{Room, Whole};
-use crate::api::{Ending, Micros};
-use crate::exchange::Ended;
 use crate::ids::HeldId;
 use actix_http::{Method, StatusCode, Uri};
 use actix_rt::net::TcpStream;
@@ -14,6 +12,8 @@
 use awc::{Client, Connector};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
+use sedgerun_core::exchange::Ended;
+use sedgerun_decide::api::{Ending, Micros};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
--- a/src/back/mod.rs
+++ b/crates/head/src/back/mod.rs
@@ -4,10 +4,10 @@
 pub mod http;
 pub mod ninep;
 
-use crate::api::{Micros, NodeId};
-use crate::exchange::Ended;
-use crate::ninep::Message;
 use bytes::Bytes;
+use sedgerun_core::exchange::Ended;
+use sedgerun_decide::api::{Micros, NodeId};
+use sedgerun_ninep::Message;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
--- a/src/back/ninep.rs
+++ b/crates/head/src/back/ninep.rs
@@ -4,10 +4,10 @@
 //! it has opened is parked under the client's handle, and the next attempt at the same box takes it up.
 
 use super::Reply;
-use crate::api::{Ending, NodeId};
-use crate::exchange::Ended;
-use crate::ninep::*;
 use bytes::Bytes;
+use sedgerun_core::exchange::Ended;
+use sedgerun_decide::api::{Ending, NodeId};
+use sedgerun_ninep::*;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
--- /dev/null
+++ b/crates/head/src/config.rs
@@ -0,0 +1,296 @@
+//! The one place where the platform's configuration is read, checked and given its defaults; the operator's
+//! file is read beside it by [`operator`](crate::operator). Whatever is wrong is said, each fault in one line
+//! that names the key and its place.
+//!
+//! The platform's JSON is flattened into the `path=value` pairs that the adapter reads, and decoded by the
+//! adapter's own [`settings`].
+
+use crate::operator::Operator;
+use crate::tenants::Catalogue;
+use sedgerun_decide::api::{Micros, Settings};
+use sedgerun_settings::pairs::settings;
+use sedgerun_settings::platform::{flatten, locate};
+use sedgerun_settings::{Fault, Faults, Pairs};
+use serde_json::Value;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// The files that the configuration is read from, at the start and again on SIGHUP.
+#[derive(Clone, Debug)]
+pub struct Sources {
+    /// The platform's JSON.
+    pub config: String,
+    /// The operator's file, where there is one.
+    pub operator: Option<String>,
+}
+
+impl Sources {
+    /// Reads and checks them, to the last fault of both.
+    pub fn read(&self) -> Result<Config, Faults> {
+        let text = |key: &str, path: &str| {
+            let failed = |error| Faults::one(key, format!("{key}: {path}: {error}"), None);
+            std::fs::read_to_string(path).map_err(failed)
+        };
+        let (mut config, mut faults) = Config::read(&text("LB_CONFIG", &self.config)?);
+        faults = faults.under(&self.config);
+        if let Some(path) = &self.operator {
+            // Whatever is wrong with the platform's JSON, the names in it are what exports are checked against.
+            let added = text("LB_OPERATOR", path)
+                .and_then(|text| config.add_operator(&text).map_err(|faults| faults.under(path)));
+            faults.0.extend(added.err().into_iter().flat_map(|faults| faults.0));
+        }
+        if faults.0.is_empty() { Ok(config) } else { Err(faults) }
+    }
+}
+
+/// What the program works with.
+#[derive(Debug)]
+pub struct Config {
+    /// Its name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery is.
+    pub discovery: SocketAddr,
+    /// Seed of random numbers.
+    pub seed: u64,
+    /// Descriptors that the program may hold.
+    pub sockets: usize,
+    /// The list as it was last had, in discovery's form.
+    pub known: Option<Value>,
+    /// The settings of the decisions.
+    pub settings: Settings,
+    /// Names of the classes, in order.
+    pub classes: Vec<String>,
+    /// Names of the plans, in order.
+    pub plans: Vec<String>,
+    /// Names of the zones, in order.
+    pub zones: Vec<String>,
+    /// Idle connections to nodes close after this.
+    pub idle: Micros,
+    /// A connection not made by then has failed.
+    pub dial: Micros,
+    /// Which classes write; empty where that is not told.
+    pub writes: Vec<bool>,
+    /// Requests that may be open at once.
+    pub most_open: usize,
+    /// What the limits leave for each part.
+    pub bounds: Bounds,
+    /// What the operator's file adds.
+    pub operator: Operator,
+}
+
+/// Bounds that follow from the limits on memory and descriptors.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bounds {
+    /// HTTP clients past which idle ones are closed. Clients have a third of the descriptors for requests; were
+    /// it full of connections that stay, none would be left for those that ask.
+    pub clients: usize,
+    /// The most HTTP clients at all; boxes and discovery keep the rest of the descriptors.
+    pub most_clients: usize,
+    /// Requests that memory has room for, each with a full body on either side.
+    pub open: usize,
+    /// Bytes that bodies of answers may take up on their way, all together.
+    pub answers: usize,
+    /// The largest body of an answer.
+    pub answer: usize,
+    /// The most 9P clients.
+    pub ninep_clients: usize,
+    /// Operations of one 9P client at once; past it the client's socket is not read.
+    pub ninep_at_once: usize,
+    /// The most fids of a 9P client.
+    pub ninep_fids: usize,
+}
+
+impl Bounds {
+    fn new(sockets: usize, memory_mb: usize) -> Bounds {
+        let clients = (sockets / 6).max(4);
+        // A client that sends as fast as it can costs up to 128 KiB before it is cut off.
+        let most_clients = (sockets * 5 / 8).min(5 * memory_mb).max(sockets / 3);
+        Bounds {
+            clients,
+            most_clients,
+            open: (4 * memory_mb).max(most_clients),
+            answers: memory_mb << 18,
+            answer: (memory_mb << 15).clamp(1 << 20, 4 << 20),
+            ninep_clients: (sockets / 6).min(memory_mb).max(1),
+            ninep_at_once: (memory_mb / 4).clamp(4, 64),
+            ninep_fids: (4 * memory_mb).clamp(64, 4096),
+        }
+    }
+}
+
+impl Config {
+    /// Reads the platform's JSON: what can be used of it, and what is wrong with it.
+    fn read(text: &str) -> (Config, Faults) {
+        let (json, malformed) = match serde_json::from_str(text) {
+            Ok(json) => (json, None),
+            Err(error) => (Value::Null, Some(Faults::one("", format!("malformed JSON: {error}"), None))),
+        };
+        let reader = Reader { text, json: &json, faults: RefCell::default() };
+        let seed = reader.string("seed");
+        let seed = u64::from_str_radix(seed, 16).unwrap_or_else(|_| {
+            if !seed.is_empty() {
+                reader.fault("seed", format!("seed is not hexadecimal: {seed}"));
+            }
+            0
+        });
+        let sockets = reader.limit("sockets", 32, 1024);
+        let bounds = Bounds::new(sockets, reader.limit("memory_mb", 8, 192));
+        let mut map = BTreeMap::new();
+        match json.get("settings") {
+            Some(settings) if settings.is_object() => flatten("", settings, &mut map),
+            Some(_) => reader.fault("settings", "settings is not an object".into()),
+            None => reader.fault("settings", "settings is missing".into()),
+        }
+        let pairs = Pairs::from_map(&map);
+        let settings = settings(&pairs);
+        if let (Err(faults), false) = (pairs.finish(()), map.is_empty()) {
+            for Fault { key, what, .. } in faults.0 {
+                reader.fault(&format!("settings.{key}"), format!("settings: {what}"));
+            }
+        }
+        let zones =
+            map.get("zones").map_or(Vec::new(), |zones| zones.split(',').map(str::to_owned).collect());
+        let config = Config {
+            name: reader.string("name").to_owned(),
+            listen: reader.address("listen"),
+            discovery: reader.address("discovery"),
+            seed,
+            sockets,
+            known: json.get("known").filter(|known| !known.is_null()).cloned(),
+            settings,
+            classes: reader.names(&map, "classes"),
+            plans: reader.names(&map, "plans"),
+            zones,
+            idle: reader.figure(&map, "limits.connIdle", 15_000_000),
+            dial: reader.figure(&map, "limits.dialTimeout", 250_000),
+            writes: reader.flags(&map, "specifics.changesData"),
+            most_open: (reader.figure(&map, "limits.maxOpen", 20_000) as usize).min(bounds.open),
+            bounds,
+            operator: Operator::default(),
+        };
+        (config, malformed.unwrap_or_else(|| Faults(reader.faults.take())))
+    }
+
+    /// Adds what the operator's file sets up.
+    pub fn add_operator(&mut self, text: &str) -> Result<(), Faults> {
+        self.operator = Operator::read(text, self.catalogue(), &self.bounds)?;
+        Ok(())
+    }
+
+    /// The names that exports may use.
+    pub fn catalogue(&self) -> Catalogue<'_> {
+        Catalogue { classes: &self.classes, plans: &self.plans, settings: &self.settings }
+    }
+
+    /// The keys in which another configuration differs that stay as they are until the next start.
+    pub fn fixed(&self, other: &Config) -> Vec<&'static str> {
+        let same = [
+            ("name", self.name == other.name),
+            ("listen", self.listen == other.listen),
+            ("limits.sockets", self.sockets == other.sockets),
+            ("limits.memory_mb", self.bounds == other.bounds || self.sockets != other.sockets),
+            ("limits.connIdle", self.idle == other.idle),
+            ("limits.dialTimeout", self.dial == other.dial),
+            ("limits.maxOpen", self.most_open == other.most_open),
+            ("classes", self.classes == other.classes),
+            ("plans", self.plans == other.plans),
+            ("settings", self.settings == other.settings),
+            ("LB_OPERATOR", self.operator == other.operator),
+        ];
+        same.iter().filter(|(_, same)| !same).map(|(key, _)| *key).collect()
+    }
+
+    /// The position of a class.
+    pub fn class(&self, name: &str) -> Option<usize> {
+        self.classes.iter().position(|class| class == name)
+    }
+
+    /// The position of a plan.
+    pub fn plan(&self, name: &str) -> Option<usize> {
+        self.plans.iter().position(|plan| plan == name)
+    }
+}
+
+/// Reads the platform's JSON by its keys, and notes what is wrong.
+struct Reader<'a> {
+    text: &'a str,
+    json: &'a Value,
+    faults: RefCell<Vec<Fault>>,
+}
+
+impl<'a> Reader<'a> {
+    fn fault(&self, key: &str, what: String) {
+        let fault = Fault { key: key.to_owned(), what, place: locate(self.text, key) };
+        self.faults.borrow_mut().push(fault);
+    }
+
+    fn string(&self, name: &str) -> &'a str {
+        match self.json.get(name).map(Value::as_str) {
+            Some(Some(text)) => return text,
+            Some(None) => self.fault(name, format!("{name} is not a string")),
+            None => self.fault(name, format!("{name} is missing")),
+        }
+        ""
+    }
+
+    fn address(&self, name: &str) -> SocketAddr {
+        let text = self.string(name);
+        text.parse().unwrap_or_else(|_| {
+            if !text.is_empty() {
+                self.fault(name, format!("{name} is not an address: {text}"));
+            }
+            SocketAddr::from(([127, 0, 0, 1], 0))
+        })
+    }
+
+    fn limit(&self, name: &str, least: u64, absent: u64) -> usize {
+        let Some(value) = self.json.pointer(&format!("/limits/{name}")) else { return absent as usize };
+        match value.as_u64().filter(|limit| (least..=1 << 20).contains(limit)) {
+            Some(limit) => limit as usize,
+            None => {
+                self.fault(&format!("limits.{name}"), format!("limits.{name} is out of range: {value}"));
+                absent as usize
+            }
+        }
+    }
+
+    fn names(&self, map: &BTreeMap<String, String>, list: &str) -> Vec<String> {
+        let count = map.get(&format!("{list}.count")).and_then(|n| n.parse().ok()).unwrap_or(0usize);
+        let name = |i| {
+            let key = format!("{list}.{i}.name");
+            map.get(&key).cloned().unwrap_or_else(|| {
+                self.fault(&format!("settings.{key}"), format!("settings.{key} is missing"));
+                String::new()
+            })
+        };
+        (0..count).map(name).collect()
+    }
+
+    fn figure(&self, map: &BTreeMap<String, String>, key: &str, absent: u64) -> u64 {
+        let Some(text) = map.get(key) else { return absent };
+        match text.parse::<f64>() {
+            Ok(value) if (1.0..=1e15).contains(&value) => value as u64,
+            _ => {
+                self.fault(&format!("settings.{key}"), format!("settings.{key} is out of range: {text}"));
+                absent
+            }
+        }
+    }
+
+    fn flags(&self, map: &BTreeMap<String, String>, key: &str) -> Vec<bool> {
+        let text = map.get(key).map_or("", String::as_str);
+        let flag = |flag: &str| match flag {
+            "true" => true,
+            "false" => false,
+            other => {
+                let what = format!("settings.{key} is neither true nor false: {other}");
+                self.fault(&format!("settings.{key}"), what);
+                false
+            }
+        };
+        text.split(',').filter(|_| !text.is_empty()).map(flag).collect()
+    }
+}
--- a/src/discovery.rs
+++ b/crates/head/src/discovery.rs
@@ -1,12 +1,12 @@
 //! The watch on discovery's list: one call after the other, for as long as the program lives.
 
-use crate::api::{Listed, Micros, NodeId, Readiness, Scope};
 use crate::back::Backs;
 use crate::back::answer::Room;
 use crate::back::http::{Spans, client};
 use crate::config::Config;
 use crate::hub::Hub;
 use awc::Client;
+use sedgerun_decide::api::{Listed, Micros, NodeId, Readiness, Scope};
 use serde_json::Value;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -117,7 +117,7 @@
         let list = known.map(|known| read_list(&known, &self.config.zones, |id| self.number(id)));
         match list {
             Some(Ok(list)) => return self.tell(Scope::Cached, list),
-            Some(Err(what)) => eprintln!("known: {what}"),
+            Some(Err(what)) => tracing::warn!("known: {what}"),
             None => {}
         }
         self.hub.list(Scope::Cached, self.untold());
@@ -147,7 +147,7 @@
                         self.tell(scope, list);
                     }
                     Err(what) => {
-                        eprintln!("discovery: {what}");
+                        tracing::warn!("discovery: {what}");
                         // Guards against asking for the same malformed changes for ever.
                         if what.starts_with(MALFORMED) {
                             self.generation = None;
--- a/src/front/http.rs
+++ b/crates/head/src/front/http.rs
@@ -1,10 +1,8 @@
 //! The platform's HTTP front, with actix-http: reads a request, asks the exchange, writes the answer.
 
-use crate::api::Micros;
 use crate::back::http::{HttpJob, MOST_BODY};
 use crate::back::{Job, Reply};
 use crate::config::Config;
-use crate::exchange::{Answer, Ask};
 use crate::hub::Hub;
 use crate::ids::Ids;
 use actix_codec::{AsyncRead, AsyncWrite, ReadBuf};
@@ -16,6 +14,8 @@
 use actix_service::{Service, ServiceFactory, fn_service};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
+use sedgerun_core::exchange::{Answer, Ask};
+use sedgerun_decide::api::Micros;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
--- a/src/front/ninep.rs
+++ b/crates/head/src/front/ninep.rs
@@ -1,15 +1,15 @@
 //! The 9P front: sessions of 9P2000 clients. Fids live here and keep their paths, so that no box has to
 //! outlive them; whatever needs a box goes through the exchange, with a deadline.
 
-use crate::api::Micros;
 use crate::back::ninep::{NinepJob, Op};
 use crate::back::{Job, Reply};
 use crate::config::Config;
-use crate::exchange::{Answer, Ask};
 use crate::hub::Hub;
-use crate::ninep::*;
 use crate::tenants::{Export, Registry};
 use bytes::Bytes;
+use sedgerun_core::exchange::{Answer, Ask};
+use sedgerun_decide::api::Micros;
+use sedgerun_ninep::*;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
@@ -138,7 +138,7 @@
             let stream = match listener.accept().await {
                 Ok((stream, _)) => stream,
                 Err(error) => {
-                    eprintln!("9P accept: {error}");
+                    tracing::warn!("9P accept: {error}");
                     tokio::time::sleep(Duration::from_millis(5)).await;
                     continue;
                 }
--- a/src/head.rs
+++ b/crates/head/src/head.rs
@@ -1,7 +1,6 @@
 //! The program from start to exit, as the named states of one object.
 
 use crate::admin::Api;
-use crate::api::Micros;
 use crate::back::Backs;
 use crate::back::answer::Room;
 use crate::back::http::{HttpBack, Spans};
@@ -13,8 +12,9 @@
 use crate::front::ninep::NinepFront;
 use crate::hub::Hub;
 use crate::tenants::Registry;
-use crate::vrrp::State;
-use crate::vrrp::udp::Carrier;
+use crate::vrrp::Carrier;
+use sedgerun_decide::api::Micros;
+use sedgerun_vrrp::State;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -90,15 +90,15 @@
         let fresh = match self.sources.read() {
             Ok(fresh) => fresh,
             // Guards against a file that cannot be used: what is in force stands.
-            Err(what) => return eprintln!("SIGHUP: {what}; nothing is changed"),
+            Err(what) => return tracing::error!("SIGHUP: {what}; nothing is changed"),
         };
         for key in self.config.fixed(&fresh) {
-            eprintln!("SIGHUP: {key} differs; the next start takes it over");
+            tracing::warn!("SIGHUP: {key} differs; the next start takes it over");
         }
         let moved = self
             .discovery
             .send_if_modified(|address| std::mem::replace(address, fresh.discovery) != fresh.discovery);
-        eprintln!("SIGHUP: discovery is {} {}", if moved { "now" } else { "still" }, fresh.discovery);
+        tracing::info!("SIGHUP: discovery is {} {}", if moved { "now" } else { "still" }, fresh.discovery);
     }
 }
 
@@ -128,7 +128,7 @@
         let on = async |key: &str, address: SocketAddr| {
             let failed = |error| format!("{key}: cannot bind {address}: {error}");
             let listener = bind(address).await.map_err(failed)?;
-            eprintln!("{key}: {}", listener.local_addr().map_err(failed)?);
+            tracing::info!("{key}: {}", listener.local_addr().map_err(failed)?);
             Ok::<_, String>(listener)
         };
         let http = on("listen", config.listen).await?;
@@ -189,7 +189,7 @@
                 Phase::Closing => self.close().await,
                 Phase::Ended => Phase::Ended,
             };
-            eprintln!("{}: {:?} -> {next:?}", self.config.name, self.phase);
+            tracing::info!("{}: {:?} -> {next:?}", self.config.name, self.phase);
             self.phase = next;
         }
         Ok(())
@@ -204,7 +204,7 @@
         let serve = Rc::clone(&self.front).serve(http);
         let serving = actix_rt::spawn(async move {
             if let Err(error) = serve.await {
-                eprintln!("front: {error}");
+                tracing::error!("front: {error}");
             }
         });
         self.accepting.push(serving.abort_handle());
@@ -229,7 +229,7 @@
             });
             actix_rt::spawn(async move {
                 if let Err(error) = api.serve(listener).await {
-                    eprintln!("admin: {error}");
+                    tracing::error!("admin: {error}");
                 }
             });
         }
--- a/src/hub.rs
+++ b/crates/head/src/hub.rs
@@ -1,10 +1,10 @@
 //! Where fronts and backs meet: the exchange with its effects carried out. One [`Hub`] a program, shared by
 //! all tasks of its one thread; whoever brings an event in also carries out what follows from it.
 
-use crate::api::{Ending, Listed, Micros, NodeId, RequestId, Scope, Settings};
 use crate::back::{Backs, Job, Reply};
 use crate::clock::Clock;
-use crate::exchange::{Answer, Ask, Effect, Ended, Exchange};
+use sedgerun_core::exchange::{Answer, Ask, Effect, Ended, Exchange};
+use sedgerun_decide::api::{Ending, Listed, Micros, NodeId, RequestId, Scope, Settings};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
--- /dev/null
+++ b/crates/head/src/lib.rs
@@ -0,0 +1,19 @@
+//! The program of sedgerun: a storage gateway head that keeps volumes to their reservations, shares and limits.
+//!
+//! [`front`] takes requests, [`back`] makes attempts, [`discovery`] watches the list, [`hub`] carries out what
+//! the exchange of `sedgerun-core` wants, and [`head`] runs them all. [`config`] and [`operator`] read what it
+//! is set up with, [`logging`] writes what it says.
+
+pub mod admin;
+pub mod back;
+pub mod clock;
+pub mod config;
+pub mod discovery;
+pub mod front;
+pub mod head;
+pub mod hub;
+pub mod ids;
+pub mod logging;
+pub mod operator;
+pub mod tenants;
+pub mod vrrp;
--- a/src/tenants.rs
+++ b/crates/head/src/tenants.rs
@@ -1,11 +1,21 @@
 //! Tenants and what they export over 9P: which volume, on which plan, at which shard.
 
-use crate::api::Repeat;
-use crate::config::Config;
-use crate::wire::Pairs;
+use sedgerun_decide::api::{Repeat, Settings};
+use sedgerun_settings::Pairs;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
+/// The names that an export may use, and the settings behind them.
+#[derive(Clone, Copy, Debug)]
+pub struct Catalogue<'a> {
+    /// Names of the classes, in order.
+    pub classes: &'a [String],
+    /// Names of the plans, in order.
+    pub plans: &'a [String],
+    /// The settings of the decisions.
+    pub settings: &'a Settings,
+}
+
 /// A tree that clients attach to by its name.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Export {
@@ -52,45 +62,49 @@
         "unitBytes",
     ];
 
-    /// Reads an export and the tenant it belongs to from the keys under a prefix.
-    pub(crate) fn read(pairs: &Pairs<'_>, prefix: &str, config: &Config) -> Result<(String, Export), String> {
+    /// Reads an export and the tenant it belongs to from the keys under a prefix; faults stay with the pairs.
+    pub(crate) fn read(pairs: &Pairs, prefix: &str, known: Catalogue<'_>) -> (String, Export) {
         let key = |name: &str| format!("{prefix}{name}");
-        let text = |name: &str| {
-            let found = pairs.text(&key(name)).filter(|text| !text.is_empty());
-            found.ok_or_else(|| format!("setting {} is missing", key(name)))
-        };
-        let count = |name: &str, least: f64, most: f64, absent| {
-            pairs.count(&key(name), least, most, absent).map_err(|error| error.0)
-        };
-        let unknown = |name: &str, value: &str| format!("setting {} is unknown: {value}", key(name));
-        let class = |name: &str| {
-            let value = text(name)?;
-            config.class(value).ok_or_else(|| unknown(name, value))
+        let text = |name: &str| pairs.required(&key(name));
+        let position = |names: &[String], name: &str| {
+            let value = text(name);
+            let found = names.iter().position(|known| known == value);
+            if found.is_none() && !value.is_empty() {
+                pairs.fault(&key(name), format!("setting {} is unknown: {value}", key(name)));
+            }
+            found
         };
-        let volume = text("volume")?;
-        let volume = u64::from_str_radix(volume, 16)
-            .map_err(|_| format!("setting {} is not hexadecimal: {volume}", key("volume")))?;
-        let plan = text("plan")?;
-        let plan = config.plan(plan).ok_or_else(|| unknown("plan", plan))?;
-        let write = class("writeClass")?;
-        if config.settings.classes[write].repeat != Repeat::SingleShot {
-            return Err(format!("setting {} names a class that may run twice", key("writeClass")));
+        let class = |name: &str| position(known.classes, name).unwrap_or(0);
+        let volume = text("volume");
+        let volume = u64::from_str_radix(volume, 16).unwrap_or_else(|_| {
+            if !volume.is_empty() {
+                let what = format!("setting {} is not hexadecimal: {volume}", key("volume"));
+                pairs.fault(&key("volume"), what);
+            }
+            0
+        });
+        let plan = position(known.plans, "plan").unwrap_or(0);
+        let write = position(known.classes, "writeClass");
+        let repeat = write.and_then(|write| known.settings.classes.get(write)).map(|class| class.repeat);
+        if repeat.is_some_and(|repeat| repeat != Repeat::SingleShot) {
+            let what = format!("setting {} names a class that may run twice", key("writeClass"));
+            pairs.fault(&key("writeClass"), what);
         }
         let export = Export {
-            name: text("name")?.to_owned(),
+            name: text("name").to_owned(),
             tree: pairs.text(&key("tree")).unwrap_or_default().to_owned(),
             volume,
             plan,
-            shard: count("shard", 0.0, 65_535.0, None)?,
-            heads: f64::from(count("heads", 1.0, 65_535.0, Some(1.0))?),
-            read: class("readClass")?,
-            write,
-            large: class("largeClass")?,
-            large_bytes: count("largeBytes", 1.0, 1e9, Some(32_768.0))?,
-            unit_bytes: count("unitBytes", 1.0, 1e9, Some(16_384.0))?,
-            top_units: config.settings.top_units.max(1.0),
+            shard: pairs.count(&key("shard"), 0.0, 65_535.0, None),
+            heads: f64::from(pairs.count(&key("heads"), 1.0, 65_535.0, Some(1.0))),
+            read: class("readClass"),
+            write: write.unwrap_or(0),
+            large: class("largeClass"),
+            large_bytes: pairs.count(&key("largeBytes"), 1.0, 1e9, Some(32_768.0)),
+            unit_bytes: pairs.count(&key("unitBytes"), 1.0, 1e9, Some(16_384.0)),
+            top_units: known.settings.top_units.max(1.0),
         };
-        Ok((text("tenant")?.to_owned(), export))
+        (text("tenant").to_owned(), export)
     }
 
     /// What a request of so many bytes counts.
--- a/src/vrrp/udp.rs
+++ b/crates/head/src/vrrp.rs
@@ -1,7 +1,7 @@
 //! Carries VRRP over UDP: between known routers, one datagram an advertisement.
 
-use super::{Action, Advertisement, Event, Machine, Router, State, packet};
 use crate::clock::Clock;
+use sedgerun_vrrp::{Action, Advertisement, Event, Machine, Router, State, packet};
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -85,7 +85,7 @@
             match action {
                 Action::Advertise(priority) => self.advertise(priority).await,
                 Action::Became(state) => {
-                    eprintln!("vrrp {}: {:?} -> {state:?}", self.router.id, self.state.get());
+                    tracing::info!("vrrp {}: {:?} -> {state:?}", self.router.id, self.state.get());
                     self.state.set(state);
                     self.changed.notify_one();
                 }
--- a/tests/admin.rs
+++ b/crates/head/tests/admin.rs
@@ -2,7 +2,7 @@
 
 mod standin;
 
-use sedgerun::ninep::Message;
+use sedgerun_ninep::Message;
 use standin::{Client, Discovery, Fault, Program, StandIn, config, operator};
 use std::thread;
 use std::time::Duration;
--- /dev/null
+++ b/crates/head/tests/command.rs
@@ -0,0 +1,121 @@
+//! The command line: what `check` says of faulty settings, what it converts, and the form of the log.
+
+mod standin;
+
+use serde_json::{Value, json};
+use standin::{Discovery, Fault, Program, StandIn, config, operator};
+use std::path::PathBuf;
+use std::process::{Command, Output};
+use std::time::Duration;
+
+fn place(name: &str, text: &str) -> PathBuf {
+    let folder = std::env::temp_dir().join(format!("sedgerun-command-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let path = folder.join(name);
+    std::fs::write(&path, text).expect("a file");
+    path
+}
+
+fn sedgerun(arguments: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_sedgerun"));
+    command.args(arguments).env_remove("LB_CONFIG").env_remove("LB_OPERATOR");
+    command.output().expect("the program")
+}
+
+fn good() -> Value {
+    config("127.0.0.1:1".parse().expect("an address"))
+}
+
+#[test]
+fn check_says_every_fault_with_key_line_and_column() {
+    let mut faulty = good();
+    faulty["seed"] = json!("zz");
+    faulty["settings"]["classes"][1]["goalTime"] = json!("soon");
+    let text = serde_json::to_string_pretty(&faulty).expect("JSON");
+    let line_of = |what: &str| text.lines().position(|line| line.contains(what)).expect("a line") + 1;
+    let config = place("faulty.json", &text);
+    let operator = place(
+        "faulty.sexp",
+        "(ninep\n  (listen \"there\"))\n(tenant a (export b (volume \"a\") (plan even)\n  (shard 3) (read-class read)\n  \
+         (write-class read) (large-class bulk) (depth 3)))\n",
+    );
+    let output = sedgerun(&[
+        "check",
+        "--config",
+        &config.to_string_lossy(),
+        "--operator",
+        &operator.to_string_lossy(),
+    ]);
+    let said = String::from_utf8(output.stderr).expect("text");
+    assert_eq!(output.status.code(), Some(2), "{said}");
+    let expected = [
+        format!("seed is not hexadecimal: zz ({}, line {}, column ", config.display(), line_of("\"zz\"")),
+        format!(
+            "setting classes.1.goalTime is not a figure: soon ({}, line {}",
+            config.display(),
+            line_of("soon")
+        ),
+        format!("setting ninep.listen is not an address: there ({}, line 2, column 3)", operator.display()),
+        format!("setting exports.0.depth is unknown ({}, line 5, column 41)", operator.display()),
+        format!("exports.0.writeClass names a class that may run twice ({}, line 5", operator.display()),
+    ];
+    for expected in &expected {
+        assert!(said.lines().any(|line| line.contains(expected)), "{expected} is not in:\n{said}");
+    }
+    assert_eq!(said.lines().count(), expected.len(), "{said}");
+}
+
+#[test]
+fn check_passes_what_is_shipped_and_converts_the_older_form() {
+    let classes = |config: &mut Value, names: [&str; 3]| {
+        (0..3).for_each(|i| config["settings"]["classes"][i]["name"] = json!(names[i]));
+    };
+    let mut site = good();
+    classes(&mut site, ["citanje", "nova-datoteka", "izvoz"]);
+    site["settings"]["plans"][0]["name"] = json!("osnovni");
+    let config = place("site.json", &site.to_string());
+    let shipped = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/operator.sexp");
+    let output = sedgerun(&["check", "--config", &config.to_string_lossy(), "--operator", shipped]);
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+
+    let node = StandIn::start("s-1", 3, Duration::ZERO, Fault::None);
+    let older = place("older.conf", &operator(&[&node]));
+    let output = sedgerun(&["check", "--convert", "--operator", &older.to_string_lossy()]);
+    let forms = String::from_utf8(output.stdout).expect("text");
+    // A head that starts with the converted file serves the same exports.
+    let discovery = Discovery::start(vec![node.entry("ready")]);
+    let program = Program::start(&standin::config(discovery.address), Some(&forms));
+    standin::Client::attach(program.ninep.expect("9P"), "proofs");
+}
+
+#[test]
+fn help_version_and_completions_need_no_settings() {
+    for (arguments, named) in
+        [(["--help"], "serve"), (["--version"], env!("CARGO_PKG_VERSION")), (["help"], "check")]
+    {
+        let output = sedgerun(&arguments);
+        assert!(output.status.success() && String::from_utf8_lossy(&output.stdout).contains(named));
+    }
+    let output = sedgerun(&["completions", "bash"]);
+    assert!(output.status.success() && String::from_utf8_lossy(&output.stdout).contains("_sedgerun"));
+    let output = sedgerun(&[]);
+    assert!(!output.status.success());
+    assert!(String::from_utf8_lossy(&output.stderr).contains("LB_CONFIG is missing"));
+}
+
+#[test]
+fn log_lines_are_json_where_that_is_asked_for_and_levels_hold() {
+    let config = place("json.json", &good().to_string().replace("127.0.0.1:0", "127.0.0.1:1"));
+    let config = config.to_string_lossy();
+    // Port 1 cannot be bound by a test that is no root, and nothing may listen twice: either way it ends.
+    let _taken = std::net::TcpListener::bind("127.0.0.1:1");
+    let output = sedgerun(&["--config", &config, "--log-format", "json"]);
+    let said = String::from_utf8(output.stderr).expect("text");
+    let line: Value = serde_json::from_str(said.lines().next().expect("a line")).expect("JSON");
+    assert_eq!(line["level"], "ERROR");
+    assert!(line["message"].as_str().expect("a text").contains("cannot bind"), "{line}");
+    let output = sedgerun(&["--config", &config, "--log", "off"]);
+    assert!(!output.status.success() && output.stderr.is_empty());
+    let output = sedgerun(&["--config", &config, "--log", "loud=very"]);
+    assert!(String::from_utf8_lossy(&output.stderr).contains("SEDGERUN_LOG"));
+}
--- a/tests/http.rs
+++ b/crates/head/tests/http.rs
@@ -2,7 +2,7 @@
 
 mod standin;
 
-use sedgerun::ninep::Message;
+use sedgerun_ninep::Message;
 use serde_json::json;
 use standin::{Discovery, Fault, Program, StandIn, config, get, operator};
 use std::io::{BufReader, Write};
--- a/tests/ninep.rs
+++ b/crates/head/tests/ninep.rs
@@ -2,7 +2,7 @@
 
 mod standin;
 
-use sedgerun::ninep::*;
+use sedgerun_ninep::*;
 use standin::{Client, Discovery, Fault, Program, StandIn, config, get, operator, receive};
 use std::io::{Read, Write};
 use std::net::TcpStream;
--- a/tests/standin/mod.rs
+++ b/crates/head/tests/standin/mod.rs
@@ -2,7 +2,7 @@
 //! program itself, started on ports of its own choice.
 #![allow(dead_code, reason = "each test file uses a part")]
 
-use sedgerun::ninep::*;
+use sedgerun_ninep::*;
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, HashMap};
 use std::io::{BufRead, BufReader, Read, Write};
@@ -505,10 +505,10 @@
         while !line.contains("Starting -> Serving") {
             line.clear();
             assert!(log.read_line(&mut line).expect("a log") > 0, "the program ended");
-            let address = |key: &str| line.strip_prefix(key).and_then(|text| text.trim().parse().ok());
-            http = http.or(address("listen: "));
-            ninep = ninep.or(address("ninep.listen: "));
-            admin = admin.or(address("admin.listen: "));
+            let address = |key: &str| line.split_once(key).and_then(|(_, text)| text.trim().parse().ok());
+            http = http.or(address(" listen: "));
+            ninep = ninep.or(address(" ninep.listen: "));
+            admin = admin.or(address(" admin.listen: "));
         }
         Program { child, http: http.expect("a listener"), ninep, admin, config, log }
     }
--- a/tests/vrrp.rs
+++ b/crates/head/tests/vrrp.rs
@@ -2,8 +2,8 @@
 
 mod standin;
 
-use sedgerun::ninep::Message;
-use sedgerun::vrrp::{Action, Advertisement, CENTISECOND, Event, Machine, Router, State, packet};
+use sedgerun_ninep::Message;
+use sedgerun_vrrp::{Action, Advertisement, CENTISECOND, Event, Machine, Router, State, packet};
 use standin::{Client, Discovery, Fault, Program, StandIn, config, operator};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::thread;
--- a/src/vrrp/mod.rs
+++ b/crates/vrrp/src/lib.rs
@@ -1,10 +1,9 @@
 //! VRRP version 3 (RFC 9568): the state machine, as a function of events and time. It does no I/O;
-//! [`packet`] is its codec and [`udp`] carries it.
+//! [`packet`] is its codec.
 
 pub mod packet;
-pub mod udp;
 
-use crate::api::Micros;
+use sedgerun_decide::api::Micros;
 use std::net::{Ipv4Addr, SocketAddr};
 
 /// A hundredth of a second, the protocol's unit of time.
