World: rehearse a fleet in virtual time, and count refused boxes as new in large fleets

Need: later subsystems are to be proved in one deterministic world, and staff rehearse bad mornings. The first question asked of it: do heads push over a box that has just started?

In the policy, where one request of each dispatcher adds up to over twice what a cold box bears, a refused connection makes the box count as new; small fleets decide as before.

--- a/crates/decide/src/control.rs
+++ b/crates/decide/src/control.rs
@@ -739,7 +739,17 @@
         let id = outcome.id;
         let Some(attempt) = self.attempts.remove(&(id, outcome.attempt)) else { return };
         let name = attempt.node;
+        // Guards against a crowd at a process that has just started: where one request of each dispatcher adds
+        // up to more than it bears, a refused connection makes it count as new before any list tells. Harms one
+        // whose connections were only full, by a slow start.
+        let (rules, mean) = (&self.settings.rules, self.settings.mean_units);
+        let crowd = f64::from(self.settings.dispatchers) * mean > 2.0 * rules.cold_units && rules.fall > 0;
+        let refused = crowd && outcome.ending == Ending::ConnectFailed;
+        let debt = if refused { self.draw() * mean } else { 0.0 };
         if let Some(node) = self.nodes.get_mut(&name) {
+            if refused {
+                (node.came_up, node.cold) = (now, Bucket { tokens: -debt, at: now });
+            }
             node.out = node.out.saturating_sub(u32::from(attempt.overtaken < STUCK));
             // Guards against a connection that fell silent: nodes take requests in turn, so what several
             // later ones have overtaken is stuck, and holds none of the places there.
--- a/crates/decide/tests/failures.rs
+++ b/crates/decide/tests/failures.rs
@@ -497,3 +497,34 @@
     // No more than some two thousand are left of five.
     assert!(size(&c) < 3 * few, "{} after {few}", size(&c));
 }
+
+#[test]
+fn a_refused_connection_makes_a_box_count_as_new_where_many_heads_would_crowd_it() {
+    // Of 100 dispatchers each has an even part of what a cold box bears: far less than a request.
+    let sent = |dispatchers| {
+        let settings = Settings { dispatchers, ..settings() };
+        let mut controller = Controller::new(settings, 5);
+        let mut actions = Vec::new();
+        let list = Event::List { scope: Scope::Full, nodes: vec![listed(1, 3, 0, Readiness::Ready)] };
+        controller.handle(SECOND, list, &mut actions);
+        let mut ask = |id: RequestId, now: Micros, actions: &mut Vec<Action>| {
+            actions.clear();
+            controller.handle(now, Event::Request(request(id, 0, Some(3), now + 2 * SECOND)), actions);
+            actions.iter().filter(|action| matches!(action, Action::Send { .. })).count()
+        };
+        assert_eq!(ask(1, 2 * SECOND, &mut actions), 1);
+        controller.handle(
+            2 * SECOND + MS,
+            Event::Outcome(ended(1, 0, 1, Ending::ConnectFailed, MS)),
+            &mut actions,
+        );
+        let mut ask = |id: RequestId, now: Micros| {
+            actions.clear();
+            controller.handle(now, Event::Request(request(id, 0, Some(3), now + 2 * SECOND)), &mut actions);
+            actions.iter().filter(|action| matches!(action, Action::Send { .. })).count()
+        };
+        (2..6).map(|id| ask(id, 2 * SECOND + Micros::from(id) * 10 * MS)).sum::<usize>()
+    };
+    assert!(sent(3) > 0, "a small fleet tries again at once");
+    assert_eq!(sent(100), 0, "a large one waits for its part");
+}
--- /dev/null
+++ b/crates/rehearse/src/experiment.rs
@@ -0,0 +1,136 @@
+//! Experiments: one rehearsal, several of the same, sweeps over settings, and two results against each other.
+
+use crate::auditor::Rule;
+use crate::draw::Drawn;
+use crate::scenario::Scenario;
+use crate::world::{Plant, World};
+use sedgerun_settings::Faults;
+use serde_json::{Value, json};
+use statrs::distribution::{ContinuousCDF, StudentsT};
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+/// One rehearsal in World: its figures, with the digest and what it cost here.
+pub fn in_world(scenario: &Scenario, seed: u64, plant: Option<Plant>) -> Result<Value, Faults> {
+    let drawn = Drawn::new(scenario, seed)?;
+    let begun = Instant::now();
+    let mut world = World::new(scenario, &drawn, seed, plant);
+    let digest = world.run();
+    let took = begun.elapsed().as_secs_f64();
+    let mut result = world.figures.to_json(scenario, seed, "world", &world.auditor);
+    result["digest"] = json!(format!("{digest:016x}"));
+    result["events"] = json!(world.events);
+    result["took_s"] = json!(took);
+    Ok(result)
+}
+
+/// The figures that are set side by side, with their names: what all results have.
+pub fn headline(result: &Value) -> BTreeMap<String, f64> {
+    let mut all = BTreeMap::new();
+    let mut put = |name: String, value: Option<f64>| {
+        if let Some(value) = value {
+            all.insert(name, value);
+        }
+    };
+    for name in ["service", "worst10", "cold_peak"] {
+        put(name.into(), result[name].as_f64());
+    }
+    for part in ["classes", "plans"] {
+        for (name, value) in result[part].as_object().into_iter().flatten() {
+            put(format!("{part}.{name}"), value.as_f64());
+        }
+    }
+    let requests = result["requests"].as_f64().unwrap_or(0.0).max(1.0);
+    for (name, value) in result["fates"].as_object().into_iter().flatten() {
+        put(format!("fates.{name}"), value.as_f64().map(|n| n / requests));
+    }
+    for (name, value) in result["latency"].as_object().into_iter().flatten() {
+        for quantile in ["p50_ms", "p99_ms"] {
+            put(format!("latency.{name}.{quantile}"), value[quantile].as_f64());
+        }
+    }
+    put("rules broken".into(), result["broken"].as_f64());
+    put("under reserve".into(), Some(result["breaches"][Rule::UnderReserve.name()].as_f64().unwrap_or(0.0)));
+    all
+}
+
+/// Mean, least, most and half of the 95% confidence interval of the mean.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Summary {
+    /// How many.
+    pub n: usize,
+    /// The mean.
+    pub mean: f64,
+    /// The least.
+    pub least: f64,
+    /// The most.
+    pub most: f64,
+    /// Half of the interval; 0 for a single one.
+    pub half: f64,
+    /// The sample's variance.
+    pub variance: f64,
+}
+
+impl Summary {
+    /// Of some values; of none, all 0.
+    pub fn of(values: &[f64]) -> Summary {
+        let n = values.len();
+        let count = n.max(1) as f64;
+        let mean = values.iter().sum::<f64>() / count;
+        let variance =
+            values.iter().map(|value| (value - mean) * (value - mean)).sum::<f64>() / (count - 1.0).max(1.0);
+        let least = values.iter().copied().fold(f64::INFINITY, f64::min);
+        let most = values.iter().copied().fold(f64::NEG_INFINITY, f64::max);
+        let half = if n > 1 { quantile(count - 1.0) * (variance / count).sqrt() } else { 0.0 };
+        if n == 0 {
+            return Summary { n, mean: 0.0, least: 0.0, most: 0.0, half, variance: 0.0 };
+        }
+        Summary { n, mean, least, most, half, variance }
+    }
+
+    /// The spread, as a part of the mean.
+    pub fn spread(&self) -> f64 {
+        if self.mean.abs() > 1e-12 { (self.most - self.least) / self.mean.abs() } else { 0.0 }
+    }
+}
+
+/// Student's t for a two-sided 95% interval.
+fn quantile(freedom: f64) -> f64 {
+    StudentsT::new(0.0, 1.0, freedom.max(1.0)).map_or(1.96, |t| t.inverse_cdf(0.975))
+}
+
+/// The difference of two means and half of its 95% interval, by Welch's test.
+pub fn difference(a: &Summary, b: &Summary) -> (f64, f64) {
+    let (va, vb) = (a.variance / a.n.max(1) as f64, b.variance / b.n.max(1) as f64);
+    let term = |v: f64, n: usize| v * v / (n.saturating_sub(1).max(1) as f64);
+    let freedom = (va + vb) * (va + vb) / (term(va, a.n) + term(vb, b.n)).max(1e-300);
+    (b.mean - a.mean, quantile(freedom) * (va + vb).sqrt())
+}
+
+/// The headline figures of several results, each summed up.
+pub fn summaries(results: &[Value]) -> BTreeMap<String, Summary> {
+    let mut values: BTreeMap<String, Vec<f64>> = BTreeMap::new();
+    for result in results {
+        for (name, value) in headline(result) {
+            values.entry(name).or_default().push(value);
+        }
+    }
+    values.into_iter().map(|(name, values)| (name, Summary::of(&values))).collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn intervals_are_students() {
+        // Textbook: n = 5, mean 3, s^2 = 2.5, t(4) = 2.776.
+        let summary = Summary::of(&[1.0, 2.0, 3.0, 4.0, 5.0]);
+        assert_eq!((summary.mean, summary.least, summary.most), (3.0, 1.0, 5.0));
+        assert!((summary.half - 2.776 * (2.5f64 / 5.0).sqrt()).abs() < 1e-3);
+        let (apart, half) = difference(&summary, &Summary::of(&[11.0, 12.0, 13.0, 14.0, 15.0]));
+        assert!((apart - 10.0).abs() < 1e-9 && (half - 2.306).abs() < 1e-2, "{apart} {half}");
+        assert_eq!(Summary::of(&[]).mean, 0.0);
+        assert_eq!(Summary::of(&[2.0]).half, 0.0);
+    }
+}
--- /dev/null
+++ b/crates/rehearse/src/main.rs
@@ -0,0 +1,243 @@
+//! The load and experiment tool: plays scenarios, repeats and sweeps them, and sets results side by side.
+
+use clap::{Args, Parser, Subcommand};
+use indicatif::{ProgressBar, ProgressStyle};
+use sedgerun_rehearse::experiment;
+use sedgerun_rehearse::report::{Chart, compare_table, figure, lines, page, spread_table, table};
+use sedgerun_rehearse::scenario::Scenario;
+use sedgerun_rehearse::world::Plant;
+use sedgerun_settings::Faults;
+use serde_json::Value;
+use std::path::Path;
+use std::process::ExitCode;
+
+/// Rehearses incidents: heads, boxes, a registry and clients in one deterministic world, or on loopback.
+#[derive(Parser)]
+#[command(name = "sedgerun-rehearse", version)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Args)]
+struct Which {
+    /// The scenario's file
+    script: String,
+    /// Settings in place of the scenario's, such as load=0.9 or box.pause-ms=63,190
+    #[arg(long = "with", value_name = "KEY=VALUE")]
+    with: Vec<String>,
+    /// The seed; the scenario's own where it is absent
+    #[arg(long)]
+    seed: Option<u64>,
+    /// Write the figures to a file
+    #[arg(long)]
+    json: Option<String>,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Play a scenario once; exit status 1 where a rule broke
+    Run {
+        #[command(flatten)]
+        which: Which,
+        /// Plant a fault in the heads (tests of the auditor)
+        #[arg(long, hide = true)]
+        plant: Option<String>,
+    },
+    /// Play a scenario several times with one seed; exit status 1 where two digests differ
+    Repeat {
+        #[command(flatten)]
+        which: Which,
+        /// How many times
+        #[arg(long, default_value_t = 10)]
+        runs: u64,
+    },
+    /// Play a scenario with several values of a setting, and several seeds for each
+    Sweep {
+        #[command(flatten)]
+        which: Which,
+        /// The setting and its values
+        #[arg(long, value_name = "KEY=A,B,C")]
+        set: String,
+        /// How many seeds, from the first on
+        #[arg(long, default_value_t = 5)]
+        seeds: u64,
+        /// The figures to show
+        #[arg(long, value_delimiter = ',', default_value = "service,worst10,cold_peak,rules broken")]
+        figures: Vec<String>,
+        /// Draw the first figure as an SVG chart
+        #[arg(long)]
+        chart: Option<String>,
+    },
+    /// Set two files of results against each other, with 95% confidence intervals
+    Compare {
+        /// The results before
+        a: String,
+        /// The results after
+        b: String,
+    },
+    /// Write tables and charts of all results in a folder, as its README.md
+    Report {
+        /// The folder
+        folder: String,
+    },
+}
+
+fn main() -> ExitCode {
+    match run(Cli::parse().command) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(faults) => {
+            faults.0.iter().for_each(|fault| eprintln!("{fault}"));
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn plain(what: impl ToString) -> Faults {
+    Faults::one("", what.to_string(), None)
+}
+
+fn load(which: &Which) -> Result<Scenario, Faults> {
+    let path = &which.script;
+    let text = std::fs::read_to_string(path).map_err(|error| plain(format!("{path}: {error}")))?;
+    let mut scenario = Scenario::read(&text).map_err(|faults| faults.under(path))?;
+    for setting in &which.with {
+        let (key, values) =
+            setting.split_once('=').ok_or_else(|| plain(format!("--with {setting}: no value")))?;
+        let values: Vec<&str> = values.split(',').collect();
+        scenario.set(key, &values).map_err(|what| plain(format!("--with: {what}")))?;
+    }
+    scenario.seed = which.seed.unwrap_or(scenario.seed);
+    Ok(scenario)
+}
+
+fn save(path: Option<&str>, results: &Value) -> Result<(), Faults> {
+    let Some(path) = path else { return Ok(()) };
+    std::fs::write(path, format!("{results:#}\n")).map_err(|error| plain(format!("{path}: {error}")))
+}
+
+fn read_results(path: &str) -> Result<Vec<Value>, Faults> {
+    let failed = |error: &dyn ToString| plain(format!("{path}: {}", error.to_string()));
+    let text = std::fs::read_to_string(path).map_err(|error| failed(&error))?;
+    match serde_json::from_str(&text).map_err(|error| failed(&error))? {
+        Value::Array(all) => Ok(all),
+        one => Ok(vec![one]),
+    }
+}
+
+/// Shows how far long work has come, where somebody watches.
+fn progress(steps: u64, what: &str) -> ProgressBar {
+    let style = ProgressStyle::with_template("{msg} {wide_bar} {pos}/{len} {eta}");
+    let bar = ProgressBar::new(steps).with_message(what.to_owned());
+    style.map_or(bar.clone(), |style| bar.with_style(style))
+}
+
+fn run(command: Command) -> Result<bool, Faults> {
+    match command {
+        Command::Run { which, plant } => run_once(&which, plant.as_deref()),
+        Command::Repeat { which, runs } => repeat(&which, runs),
+        Command::Sweep { which, set, seeds, figures, chart } => {
+            sweep(&which, &set, seeds, &figures, chart.as_deref())
+        }
+        Command::Compare { a, b } => {
+            println!("{}", compare_table(&read_results(&a)?, &read_results(&b)?));
+            Ok(true)
+        }
+        Command::Report { folder } => {
+            println!("{}", page(Path::new(&folder)).map_err(plain)?);
+            Ok(true)
+        }
+    }
+}
+
+fn run_once(which: &Which, plant: Option<&str>) -> Result<bool, Faults> {
+    let scenario = load(which)?;
+    let plant = plant.map(|name| {
+        let found = Plant::ALL.iter().find(|(_, known)| *known == name).map(|(plant, _)| *plant);
+        found.ok_or_else(|| plain(format!("--plant {name} is unknown")))
+    });
+    let result = experiment::in_world(&scenario, scenario.seed, plant.transpose()?)?;
+    let rows = experiment::headline(&result).into_iter().map(|(name, value)| vec![name, figure(value)]);
+    println!("{}", table(&["figure", "value"], rows.collect()));
+    let (requests, took) =
+        (result["requests"].as_u64().unwrap_or(0), result["took_s"].as_f64().unwrap_or(0.0));
+    println!(
+        "{requests} requests and {} events in {took:.3} s, digest {}",
+        result["events"], result["digest"]
+    );
+    for told in result["told"].as_array().into_iter().flatten().filter_map(Value::as_str) {
+        println!("- {told}");
+    }
+    save(which.json.as_deref(), &result)?;
+    Ok(result["broken"] == 0)
+}
+
+fn repeat(which: &Which, runs: u64) -> Result<bool, Faults> {
+    let scenario = load(which)?;
+    let bar = progress(runs, &scenario.name);
+    let mut results = Vec::new();
+    for _ in 0..runs {
+        results.push(experiment::in_world(&scenario, scenario.seed, None)?);
+        bar.inc(1);
+    }
+    bar.finish_and_clear();
+    let mut digests: Vec<&str> = results.iter().filter_map(|result| result["digest"].as_str()).collect();
+    digests.dedup();
+    println!("{:16} seed {} {runs} runs: {}", scenario.name, scenario.seed, digests.join(" "));
+    if digests.len() > 1 {
+        println!("{}", spread_table(&results));
+    }
+    let same = digests.len() == 1;
+    save(which.json.as_deref(), &Value::Array(results))?;
+    Ok(same)
+}
+
+fn sweep(
+    which: &Which,
+    set: &str,
+    seeds: u64,
+    figures: &[String],
+    chart: Option<&str>,
+) -> Result<bool, Faults> {
+    let scenario = load(which)?;
+    let (key, values) = set.split_once('=').ok_or_else(|| plain(format!("--set {set}: no values")))?;
+    let values: Vec<&str> = values.split(',').collect();
+    let bar = progress(values.len() as u64 * seeds, key);
+    let (mut rows, mut points, mut all) = (Vec::new(), Vec::new(), Vec::new());
+    for (i, value) in values.iter().enumerate() {
+        let mut changed = scenario.clone();
+        changed.set(key, &[value]).map_err(|what| plain(format!("--set: {what}")))?;
+        let mut results = Vec::new();
+        for seed in scenario.seed..scenario.seed + seeds {
+            results.push(experiment::in_world(&changed, seed, None)?);
+            bar.inc(1);
+        }
+        let sums = experiment::summaries(&results);
+        let shown = figures.iter().map(|name| {
+            let Some(sum) = sums.get(name) else { return "unknown".to_owned() };
+            format!("{} ({} to {})", figure(sum.mean), figure(sum.least), figure(sum.most))
+        });
+        rows.push([(*value).to_owned()].into_iter().chain(shown).collect());
+        if let Some(sum) = figures.first().and_then(|name| sums.get(name)) {
+            points.push((value.parse().unwrap_or(i as f64), *sum));
+        }
+        all.extend(results);
+    }
+    bar.finish_and_clear();
+    let mut head = vec![key];
+    head.extend(figures.iter().map(String::as_str));
+    println!("{}", table(&head, rows));
+    if let (Some(path), Some(name)) = (chart, figures.first()) {
+        let title = format!("{}: {name} by {key}, {seeds} seeds", scenario.name);
+        let line = |what: &str, pick: &dyn Fn(&experiment::Summary) -> f64| {
+            (what.to_owned(), points.iter().map(|(x, sum)| (*x, pick(sum))).collect())
+        };
+        let drawn =
+            [line("mean", &|sum| sum.mean), line("least", &|sum| sum.least), line("most", &|sum| sum.most)];
+        let chart = Chart { title: &title, axes: (key, name), marks: &[], top: 1.0 };
+        lines(Path::new(path), &chart, &drawn).map_err(plain)?;
+    }
+    save(which.json.as_deref(), &Value::Array(all))?;
+    Ok(true)
+}
