Sockets: play the same scenarios against real heads on loopback, over HTTP and 9P

Need: what World shows must hold on sockets, and the figures of a scripted incident must come out the same from run to run.

Change: crates/rehearse/src/sockets: boxes that run the model of World in real time behind HTTP (httparse) and 9P listeners, the registry behind the platform's discovery, heads as processes that are killed and started, clients that ask when a request is due whatever became of those before. One set of strikes for both drivers, one auditor. The tool is its own head (`serve`), so that `demo` needs no second build.

--- /dev/null
+++ b/crates/head/src/command.rs
@@ -0,0 +1,149 @@
+//! The command line: `sedgerun` or `sedgerun serve` runs one head with the configuration that the platform
+//! names in `LB_CONFIG` and the operator's file in `LB_OPERATOR`; `sedgerun check` says all that is wrong with
+//! them.
+
+use crate::config::Sources;
+use crate::head::{Head, Signals};
+use crate::logging;
+use clap::{Args, CommandFactory, Parser, Subcommand, ValueEnum};
+use sedgerun_settings::{Faults, operator};
+use std::process::ExitCode;
+
+/// A storage gateway head that keeps volumes to their reservations, shares and limits.
+#[derive(Parser)]
+#[command(name = "sedgerun", version)]
+struct Cli {
+    #[command(subcommand)]
+    command: Option<Command>,
+    #[command(flatten)]
+    files: Files,
+    /// What is logged: a level (error, warn, info, debug, trace), or target=level pairs joined by commas
+    #[arg(long, env = "SEDGERUN_LOG", default_value = "info", global = true)]
+    log: String,
+    /// The form of log lines
+    #[arg(long, env = "SEDGERUN_LOG_FORMAT", value_enum, default_value = "human", global = true)]
+    log_format: LogForm,
+}
+
+#[derive(Args)]
+struct Files {
+    /// The platform's JSON
+    #[arg(long, env = "LB_CONFIG", global = true)]
+    config: Option<String>,
+    /// The operator's file
+    #[arg(long, env = "LB_OPERATOR", global = true)]
+    operator: Option<String>,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Run one head (the default)
+    Serve,
+    /// Read all settings and say every fault in them; exit status 2 where there is one
+    Check {
+        /// Print the operator's file as S-expressions
+        #[arg(long)]
+        convert: bool,
+    },
+    /// Print completions for a shell
+    Completions {
+        /// The shell
+        shell: clap_complete::Shell,
+    },
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum LogForm {
+    /// Lines for people
+    Human,
+    /// One JSON object a line
+    Json,
+}
+
+/// Exit status where settings are at fault.
+const FAULTY: u8 = 2;
+
+/// Runs the command line.
+pub fn main() -> ExitCode {
+    let Cli { command, files, log, log_format } = Cli::parse();
+    match command {
+        None | Some(Command::Serve) => {
+            let form = match log_format {
+                LogForm::Human => logging::Form::Human,
+                LogForm::Json => logging::Form::Json,
+            };
+            serve(sources(files), &log, form)
+        }
+        Some(Command::Check { convert }) => match check(files, convert) {
+            Ok(said) => {
+                print!("{said}");
+                ExitCode::SUCCESS
+            }
+            Err(faults) => {
+                faults.0.iter().for_each(|fault| eprintln!("{fault}"));
+                ExitCode::from(FAULTY)
+            }
+        },
+        Some(Command::Completions { shell }) => {
+            clap_complete::generate(shell, &mut Cli::command(), "sedgerun", &mut std::io::stdout());
+            ExitCode::SUCCESS
+        }
+    }
+}
+
+/// Runs one head from start to exit; what is wrong with its settings is logged.
+pub fn serve(sources: Result<Sources, Faults>, log: &str, form: logging::Form) -> ExitCode {
+    let _writing = match logging::start(log, form) {
+        Ok(writing) => writing,
+        Err(what) => {
+            eprintln!("sedgerun: {what}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match actix_rt::System::new().block_on(run(sources)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(faults) => {
+            faults.0.iter().for_each(|fault| tracing::error!("sedgerun: {fault}"));
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn sources(files: Files) -> Result<Sources, Faults> {
+    let Files { config, operator } = files;
+    let missing =
+        || Faults::one("LB_CONFIG", "LB_CONFIG is missing: it or --config names the platform's JSON", None);
+    Ok(Sources { config: config.ok_or_else(missing)?, operator })
+}
+
+async fn run(sources: Result<Sources, Faults>) -> Result<(), Faults> {
+    let plain = |what: String| Faults::one("", what, None);
+    // Before all else: a signal that nothing catches yet ends the program.
+    let signals = Signals::catch().map_err(plain)?;
+    let sources = sources?;
+    let config = sources.read()?;
+    Head::new(config, sources).run(signals).await.map_err(plain)
+}
+
+fn check(files: Files, convert: bool) -> Result<String, Faults> {
+    if convert {
+        let missing =
+            || Faults::one("LB_OPERATOR", "LB_OPERATOR is missing: it or --operator names a file", None);
+        let path = files.operator.ok_or_else(missing)?;
+        let text = std::fs::read_to_string(&path)
+            .map_err(|error| Faults::one("LB_OPERATOR", format!("LB_OPERATOR: {path}: {error}"), None))?;
+        return operator::read(&text)
+            .map(|pairs| operator::write(&pairs))
+            .map_err(|faults| faults.under(&path));
+    }
+    let config = sources(files)?.read()?;
+    let operator = &config.operator;
+    let exports: usize = operator.tenants.all().values().map(|exports| exports.len()).sum();
+    Ok(format!(
+        "all is well: head {} with {} classes, {} plans; {exports} exports, {} 9P boxes\n",
+        config.name,
+        config.classes.len(),
+        config.plans.len(),
+        operator.boxes.len()
+    ))
+}
--- a/crates/head/src/lib.rs
+++ b/crates/head/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admin;
 pub mod back;
 pub mod clock;
+pub mod command;
 pub mod config;
 pub mod discovery;
 pub mod front;
--- a/crates/rehearse/src/lib.rs
+++ b/crates/rehearse/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod report;
 pub mod scenario;
 pub mod script;
+pub mod sockets;
 pub mod world;
