--- a/crates/rehearse/src/experiment.rs
+++ b/crates/rehearse/src/experiment.rs
@@ -32,7 +32,7 @@
             all.insert(name, value);
         }
     };
-    for name in ["service", "worst10", "cold_peak"] {
+    for name in ["service", "worst10", "cold_peak", "cpu_us_a_request"] {
         put(name.into(), result[name].as_f64());
     }
     for part in ["classes", "plans"] {
@@ -107,6 +107,20 @@
     (b.mean - a.mean, quantile(freedom) * (va + vb).sqrt())
 }
 
+/// What World costs at a size: requests, events, and time for each request, us; the best of some runs.
+pub fn speed(scenario: &Scenario, runs: u64) -> Result<(u64, u64, f64), Faults> {
+    let mut best = (0, 0, f64::INFINITY);
+    for _ in 0..runs {
+        let result = in_world(scenario, scenario.seed, None)?;
+        let requests = result["requests"].as_u64().unwrap_or(0);
+        let cost = result["took_s"].as_f64().unwrap_or(0.0) * 1e6 / requests.max(1) as f64;
+        if cost < best.2 {
+            best = (requests, result["events"].as_u64().unwrap_or(0), cost);
+        }
+    }
+    Ok(best)
+}
+
 /// The headline figures of several results, each summed up.
 pub fn summaries(results: &[Value]) -> BTreeMap<String, Summary> {
     let mut values: BTreeMap<String, Vec<f64>> = BTreeMap::new();
--- a/crates/rehearse/src/main.rs
+++ b/crates/rehearse/src/main.rs
@@ -95,6 +95,20 @@
         /// The results after
         b: String,
     },
+    /// How fast World is: requests a second and the cost of each, at several sizes of the fleet
+    Speed {
+        #[command(flatten)]
+        which: Which,
+        /// Sizes, heads by boxes
+        #[arg(long, value_delimiter = ',', default_value = "3x9,10x30,30x60,100x60")]
+        sizes: Vec<String>,
+        /// Runs of each; the best counts
+        #[arg(long, default_value_t = 5)]
+        runs: u64,
+        /// Draw the cost of a request as an SVG chart
+        #[arg(long)]
+        chart: Option<String>,
+    },
     /// A head, three boxes, a registry and load on loopback for some seconds, with a live table
     Demo {
         /// How long, s
@@ -180,6 +194,7 @@
             println!("{}", compare_table(&read_results(&a)?, &read_results(&b)?));
             Ok(true)
         }
+        Command::Speed { which, sizes, runs, chart } => speed(&which, &sizes, runs, chart.as_deref()),
         Command::Demo { seconds } => demo(seconds),
         // Dealt with before all else.
         Command::Serve => Ok(true),
@@ -283,6 +298,29 @@
     Ok(true)
 }
 
+fn speed(which: &Which, sizes: &[String], runs: u64, chart: Option<&str>) -> Result<bool, Faults> {
+    let scenario = load(which)?;
+    let (mut rows, mut points) = (Vec::new(), Vec::new());
+    for size in sizes {
+        let (heads, boxes) = size.split_once('x').ok_or_else(|| plain(format!("--sizes {size}: no AxB")))?;
+        let mut sized = scenario.clone();
+        sized.set("heads", &[heads]).map_err(plain)?;
+        sized.set("boxes", &[boxes]).map_err(plain)?;
+        let (requests, events, cost) = experiment::speed(&sized, runs)?;
+        let cells = [size.clone(), requests.to_string(), figure(events as f64 / requests.max(1) as f64)];
+        rows.push(cells.into_iter().chain([figure(cost), figure(1e6 / cost)]).collect());
+        points.push((sized.heads as f64 * sized.boxes as f64, cost));
+    }
+    let head = ["heads x boxes", "requests", "events a request", "us a request", "requests a second"];
+    println!("{}", table(&head, rows));
+    if let Some(path) = chart {
+        let title = format!("World on one core: cost of a request, {}", scenario.name);
+        let chart = Chart { title: &title, axes: ("heads times boxes", "us"), marks: &[], top: 1.0 };
+        lines(Path::new(path), &chart, &[("us a request".to_owned(), points)]).map_err(plain)?;
+    }
+    Ok(true)
+}
+
 /// A small morning on sockets: one box comes up cold, and another drains.
 fn demo(seconds: u32) -> Result<bool, Faults> {
     let third = f64::from(seconds.max(3)) / 3.0;
--- a/crates/rehearse/src/model/disk.rs
+++ b/crates/rehearse/src/model/disk.rs
@@ -181,51 +181,39 @@
         (share * ONE / (ONE + self.figures.thrash * crowd)).max(1)
     }
 
-    /// When something happens here by itself, if nothing else does.
+    /// When something happens here by itself, if nothing else does; none where nobody would notice.
     pub fn next(&self) -> Option<Micros> {
-        if self.fallen || (self.running.is_empty() && self.waiting.is_empty()) {
-            return None;
-        }
-        if self.at < self.still_until {
-            return Some(self.still_until);
-        }
+        (self.held() > 0 && !self.fallen).then(|| self.next_event())
+    }
+
+    /// The next time at which something changes here, whether there is work or not.
+    fn next_event(&self) -> Micros {
         let mut next = self.pause_at.min(self.flush_at);
-        if let (Some((tag, _)), rate @ 1..) = (self.running.first(), self.rate()) {
+        if self.at < self.still_until {
+            next = next.min(self.still_until);
+        } else if let (Some((tag, _)), rate @ 1..) = (self.running.first(), self.rate()) {
             next = next.min(self.at + tag.saturating_sub(self.given).div_ceil(rate));
         }
         if self.cold_since.is_some() {
             next = next.min(self.at + WARM_STEP);
         }
-        Some(next.max(self.at))
+        next.max(self.at)
     }
 
-    /// Goes on to a time; gives the requests that are done by then.
+    /// Goes on to a time; gives the requests that are done by then. Pauses and put-off work come at their own
+    /// times, also where there is nothing to do.
     pub fn advance(&mut self, now: Micros) -> Vec<u64> {
-        while self.at < now {
-            let next = self.next().unwrap_or(now).clamp(self.at, now);
+        while self.at < now && !self.fallen {
+            let next = self.next_event().clamp(self.at, now);
             self.given += self.rate() * (next - self.at);
             self.at = next;
             self.settle();
-            if next < now && self.next().is_none() {
-                self.rest_until(now);
-            }
         }
+        self.at = self.at.max(now);
         self.settle();
         std::mem::take(&mut self.done)
     }
 
-    /// Passes over a time in which there is nothing to do: pauses and put-off work go by unseen.
-    fn rest_until(&mut self, now: Micros) {
-        self.at = now;
-        if self.flush_at <= now {
-            self.debt = 0;
-            self.flush_at = now + time_within(&mut self.random, self.figures.flush);
-        }
-        if self.pause_at <= now {
-            self.pause_at = now + time_within(&mut self.random, self.figures.pause_every);
-        }
-    }
-
     /// What is due at the present time.
     fn settle(&mut self) {
         while let Some((tag, token)) = self.running.first().copied().filter(|(tag, _)| *tag <= self.given) {
@@ -337,7 +325,7 @@
     }
 
     /// Requests here.
-    pub fn held(&self) -> usize {
+    fn held(&self) -> usize {
         self.running.len() + self.waiting.len()
     }
 
@@ -394,6 +382,21 @@
         assert_eq!(disk.next(), None);
     }
 
+    #[test]
+    fn pauses_come_at_their_own_times_and_not_with_the_first_request_behind_them() {
+        let mut scenario = quiet();
+        (scenario.pause_every_s, scenario.pause_ms) = ([1.0; 2], [100.0; 2]);
+        let mut disk = make(&scenario, false);
+        disk.advance(500_000);
+        disk.advance(5_600_000);
+        disk.arrive(5_600_000, job(1, 10_000));
+        assert_eq!(disk.advance(5_610_000), vec![1], "the fifth pause was over at 5.501 s");
+        disk.advance(6_550_000);
+        disk.arrive(6_550_000, job(2, 10_000));
+        assert_eq!(disk.advance(6_610_999), Vec::<u64>::new());
+        assert_eq!(disk.advance(6_611_000), vec![2], "the sixth lasts to 6.601 s");
+    }
+
     #[test]
     fn cached_items_cost_less_and_cancelled_ones_that_wait_nothing() {
         let mut disk = make(&quiet(), false);
--- a/crates/rehearse/src/model/registry.rs
+++ b/crates/rehearse/src/model/registry.rs
@@ -103,6 +103,16 @@
         self.answer(News { head, at: now + CALL, scope: Scope::Full, nodes: Vec::new() });
     }
 
+    /// A head goes on from a list that it has: it hears what comes from now on, unless nobody answers it.
+    pub fn resume(&mut self, head: usize) {
+        self.views[head].watching = !self.down;
+    }
+
+    /// Whether a head hears of changes; one whose watch broke asks for the whole list.
+    pub fn watches(&self, head: usize) -> bool {
+        self.views[head].watching
+    }
+
     fn answer(&mut self, news: News) {
         let after = self.answers.partition_point(|other| other.at <= news.at);
         self.answers.insert(after, news);
--- a/crates/rehearse/src/sockets/boxes.rs
+++ b/crates/rehearse/src/sockets/boxes.rs
@@ -13,6 +13,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::{Notify, oneshot};
 use tokio::task::AbortHandle;
@@ -140,15 +141,16 @@
         self.connections.set(0);
     }
 
-    /// Its process starts, cold.
-    pub fn come_up(self: &Rc<Self>) {
-        if self.life.borrow().is_some() {
-            return;
-        }
-        // The address was ours a moment ago, and nobody else's since: what fails here is the machine's doing.
-        if let (Ok(http), Ok(ninep)) = (listen(self.http), listen(self.ninep)) {
-            self.came_up.set(Some(self.stand.now()));
-            self.live(true, http, ninep);
+    /// Its process starts, cold, once the one before it has let go of its addresses.
+    pub async fn come_up(self: &Rc<Self>) {
+        while self.life.borrow().is_none() {
+            match (listen(self.http), listen(self.ninep)) {
+                (Ok(http), Ok(ninep)) => {
+                    self.came_up.set(Some(self.stand.now()));
+                    self.live(true, http, ninep);
+                }
+                _ => tokio::time::sleep(Duration::from_millis(1)).await,
+            }
         }
     }
 
@@ -202,7 +204,7 @@
             let next = self.life.borrow().as_ref().and_then(|life| life.disk.next());
             match next {
                 Some(next) => tokio::select! {
-                    () = tokio::time::sleep_until(self.stand.instant(next)) => {}
+                    () = self.stand.at(next) => {}
                     () = self.wake.notified() => {}
                 },
                 None => self.wake.notified().await,
--- a/crates/rehearse/src/sockets/clients.rs
+++ b/crates/rehearse/src/sockets/clients.rs
@@ -47,7 +47,7 @@
     pub async fn play(self: Rc<Self>) {
         let stand = Rc::clone(&self.stand);
         for (i, arrival) in stand.drawn.arrivals.iter().enumerate() {
-            tokio::time::sleep_until(stand.instant(arrival.due)).await;
+            stand.at(arrival.due).await;
             tokio::task::spawn_local(Rc::clone(&self).ask(i as u32));
         }
     }
--- a/crates/rehearse/src/sockets/heads.rs
+++ b/crates/rehearse/src/sockets/heads.rs
@@ -3,6 +3,7 @@
 use super::Stand;
 use super::boxes::Host;
 use super::registry::Registrar;
+use sedgerun_decide::api::Micros;
 use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
 use std::fmt::Write;
@@ -76,6 +77,16 @@
     text
 }
 
+/// CPU time of all threads of a process, us: the scheduler's own count in nanoseconds.
+fn cpu(process: u32) -> Micros {
+    let threads = std::fs::read_dir(format!("/proc/{process}/task"));
+    let each = threads.into_iter().flatten().flatten().filter_map(|thread| {
+        let text = std::fs::read_to_string(thread.path().join("schedstat")).ok()?;
+        text.split(' ').next()?.parse::<u64>().ok()
+    });
+    each.sum::<u64>() / 1000
+}
+
 impl Heads {
     /// Starts all heads, and waits until they listen.
     pub async fn start(
@@ -172,14 +183,17 @@
         });
     }
 
-    /// Ends all heads, and removes what was written for them.
-    pub async fn stop(&self) {
+    /// Ends all heads, and removes what was written for them; gives the CPU time that they took, us.
+    pub async fn stop(&self) -> Micros {
+        let mut took = 0;
         for head in &self.heads {
             let child = head.child.borrow_mut().take();
             if let Some(mut child) = child {
+                took += child.id().map_or(0, cpu);
                 let _ = child.kill().await;
             }
         }
         let _ = std::fs::remove_dir_all(&self.folder);
+        took
     }
 }
--- a/crates/rehearse/src/sockets/mod.rs
+++ b/crates/rehearse/src/sockets/mod.rs
@@ -42,6 +42,9 @@
     Ipv4Addr::new(127, 64 + high % 64, middle, low.clamp(1, 254))
 }
 
+/// Time before a moment from which it is waited for by turns of the program.
+const CLOSE: Duration = Duration::from_micros(1200);
+
 /// What all parts of one rehearsal share.
 pub struct Stand {
     scenario: Scenario,
@@ -62,6 +65,16 @@
         self.begun.elapsed().as_micros() as Micros
     }
 
+    /// Waits for a time more closely than the runtime's timers do, which know whole milliseconds: what a request's
+    /// work takes would come out up to one longer, and differently each time.
+    async fn at(&self, at: Micros) {
+        let at = self.instant(at);
+        tokio::time::sleep_until(at.checked_sub(CLOSE).unwrap_or(at)).await;
+        while Instant::now() < at {
+            tokio::task::yield_now().await;
+        }
+    }
+
     /// The instant of a time.
     fn instant(&self, at: Micros) -> Instant {
         self.begun + Duration::from_micros(at)
@@ -181,7 +194,7 @@
     let mut plant = Plant { stand: Rc::clone(&stand), hosts, heads: Rc::clone(&heads), registrar };
     let struck = async {
         for step in &stand.scenario.steps {
-            tokio::time::sleep_until(stand.instant(step.at)).await;
+            stand.at(step.at).await;
             stand.figures.borrow_mut().marks.push((step.at, step.label.clone()));
             step.strike(&mut plant, seed);
         }
@@ -194,13 +207,27 @@
         ended = struck => ended?,
         () = live => {}
     }
-    heads.stop().await;
+    let cpu = heads.stop().await;
     for host in &plant.hosts {
         host.note_peak();
     }
     let (mut auditor, figures) = (stand.auditor.borrow_mut(), stand.figures.borrow());
     auditor.finish(stand.now());
-    Ok(figures.to_json(&stand.scenario, seed, "sockets", &auditor))
+    let mut result = figures.to_json(&stand.scenario, seed, "sockets", &auditor);
+    result["cpu_us_a_request"] = (cpu as f64 / figures.requests().max(1) as f64).into();
+    Ok(result)
+}
+
+impl Plant {
+    /// A box's process starts after a time, and the list says so.
+    fn come_up(&self, slot: usize, after: Duration) {
+        let (host, registrar) = (Rc::clone(&self.hosts[slot]), Rc::clone(&self.registrar));
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(after).await;
+            host.come_up().await;
+            registrar.change(&host, Readiness::Ready);
+        });
+    }
 }
 
 impl Stage for Plant {
@@ -218,19 +245,12 @@
     }
 
     fn start(&mut self, slot: usize) {
-        self.hosts[slot].come_up();
-        self.registrar.change(&self.hosts[slot], Readiness::Ready);
+        self.come_up(slot, Duration::ZERO);
     }
 
     fn restart(&mut self, slot: usize) {
         self.hosts[slot].end();
-        let (host, registrar) = (Rc::clone(&self.hosts[slot]), Rc::clone(&self.registrar));
-        let back = Duration::from_secs_f64(self.stand.scenario.restart_s);
-        tokio::task::spawn_local(async move {
-            tokio::time::sleep(back).await;
-            host.come_up();
-            registrar.change(&host, Readiness::Ready);
-        });
+        self.come_up(slot, Duration::from_secs_f64(self.stand.scenario.restart_s));
     }
 
     fn drain(&mut self, slot: usize, drains: bool) {
@@ -246,7 +266,7 @@
             host.end();
             registrar.change(&host, Readiness::Gone);
             registrar.rename(&host);
-            host.come_up();
+            host.come_up().await;
             registrar.change(&host, Readiness::Ready);
         });
     }
--- a/crates/rehearse/src/sockets/registry.rs
+++ b/crates/rehearse/src/sockets/registry.rs
@@ -87,9 +87,12 @@
 
     /// The list as a head that starts has it, in discovery's form.
     pub fn known(&self, head: usize) -> Value {
-        let nodes = self.model.borrow_mut().known(head);
+        let mut model = self.model.borrow_mut();
+        let nodes = model.known(head);
+        model.resume(head);
         self.stand.auditor.borrow_mut().restarted(head);
-        json!({"generation": 0, "reset": true, "instances": self.written(&nodes)})
+        let version = self.views.borrow()[head].version;
+        json!({"generation": version, "reset": true, "instances": self.written(&nodes)})
     }
 
     /// What is said of a box changes.
@@ -169,7 +172,8 @@
             let rest = target.split(['?', '&']).find_map(|part| part.strip_prefix(name)?.strip_prefix('='));
             rest?.parse().ok()
         };
-        let since = query("since");
+        // A watch that broke cannot go on: what came in between was told to nobody.
+        let since = query("since").filter(|_| self.model.borrow().watches(head));
         if since.is_none() {
             let mut views = self.views.borrow_mut();
             (views[head].whole, views[head].failed) = (None, false);
--- a/scenarios/cold-morning.sexp
+++ b/scenarios/cold-morning.sexp
@@ -1,8 +1,6 @@
-; Two boxes come up cold while all heads hold traffic for them, and one head restarts with no memory in their midst.
+; A fifth of the boxes comes up cold while all heads hold traffic for them, and one head restarts with no memory in
+; their midst.
 (scenario cold-morning
-  (seconds 24)
-  (heads 3)
-  (boxes 9)
-  (load 0.7)
-  (at 6 (cold (boxes 2 7)))
+  (seconds 30) (heads 6) (boxes 30) (load 0.6)
+  (at 6 (cold (boxes 2 7 12 17 22 27)))
   (at 9 (kill (heads 1) (for-s 1))))
