--- a/crates/decide/src/control.rs
+++ b/crates/decide/src/control.rs
@@ -739,9 +739,9 @@
         let id = outcome.id;
         let Some(attempt) = self.attempts.remove(&(id, outcome.attempt)) else { return };
         let name = attempt.node;
-        // Guards against a crowd at a process that has just started: where one request of each dispatcher adds
-        // up to more than it bears, a refused connection makes it count as new before any list tells. Harms one
-        // whose connections were only full, by a slow start.
+        // Guards against a crowd at a process that has just started: where one request of each dispatcher is
+        // more than it bears together, a refused connection makes it count as new before any list tells.
+        // Harms one whose connections were only full, by a slow start.
         let (rules, mean) = (&self.settings.rules, self.settings.mean_units);
         let crowd = f64::from(self.settings.dispatchers) * mean > 2.0 * rules.cold_units && rules.fall > 0;
         let refused = crowd && outcome.ending == Ending::ConnectFailed;
