Operators' mgmt address: calls, bans, drain, figures; clients' socket from LB_ACCEPT_FD

Drain: /healthz 503, answers close, idle clients closed. LB_ACCEPT_FD through listenfd, which run hands it as LISTEN_FDS; on SIGTERM such a head stops accepting at once.

--- a/crates/head/src/back/mod.rs
+++ b/crates/head/src/back/mod.rs
@@ -46,6 +46,16 @@
         })
     }
 
+    /// The number of a name that is in use; `None` for a name that nobody has.
+    pub fn find(&self, name: &str) -> Option<NodeId> {
+        self.known.borrow().get(name).copied()
+    }
+
+    /// The name of a number.
+    pub fn name(&self, node: NodeId) -> Option<String> {
+        self.known.borrow().iter().find(|(_, known)| **known == node).map(|(name, _)| name.clone())
+    }
+
     /// All numbers in use.
     pub fn all(&self) -> Vec<NodeId> {
         self.known.borrow().values().copied().collect()
--- a/crates/head/src/config.rs
+++ b/crates/head/src/config.rs
@@ -53,6 +53,8 @@
     pub listen: SocketAddr,
     /// Where discovery is.
     pub discovery: SocketAddr,
+    /// The operators' address (`mgmt`, or `$LB_MGMT`), where there is one.
+    pub mgmt: Option<SocketAddr>,
     /// Seed of random numbers.
     pub seed: u64,
     /// Descriptors that the program may hold.
@@ -157,6 +159,7 @@
             name: reader.string("name").to_owned(),
             listen: reader.address("listen"),
             discovery: reader.address("discovery"),
+            mgmt: reader.optional_address("mgmt", std::env::var("LB_MGMT").ok()),
             seed,
             sockets,
             known: json.get("known").filter(|known| !known.is_null()).cloned(),
@@ -190,6 +193,7 @@
         let same = [
             ("name", self.name == other.name),
             ("listen", self.listen == other.listen),
+            ("mgmt", self.mgmt == other.mgmt),
             ("limits.sockets", self.sockets == other.sockets),
             ("limits.memory_mb", self.bounds == other.bounds || self.sockets != other.sockets),
             ("limits.connIdle", self.idle == other.idle),
@@ -246,6 +250,23 @@
         })
     }
 
+    /// An address that may be missing; where the JSON has none, the environment's.
+    fn optional_address(&self, name: &str, environment: Option<String>) -> Option<SocketAddr> {
+        let text = match self.json.get(name) {
+            Some(Value::String(text)) => text.clone(),
+            Some(Value::Null) | None => environment.filter(|text| !text.is_empty())?,
+            Some(_) => {
+                self.fault(name, format!("{name} is not a string"));
+                return None;
+            }
+        };
+        let parsed = text.parse().ok();
+        if parsed.is_none() {
+            self.fault(name, format!("{name} is not an address: {text}"));
+        }
+        parsed
+    }
+
     fn limit(&self, name: &str, least: u64, absent: u64) -> usize {
         let Some(value) = self.json.pointer(&format!("/limits/{name}")) else { return absent as usize };
         match value.as_u64().filter(|limit| (least..=1 << 20).contains(limit)) {
--- a/crates/head/src/discovery.rs
+++ b/crates/head/src/discovery.rs
@@ -220,7 +220,9 @@
         // Guards against growing with every box that is ever replaced. One with an attempt out is forgotten
         // with a later list; those come at least once a wait.
         for node in hub.backs().names.all() {
+            // A banned brick keeps its number, so that its ban holds when it is listed again.
             let kept = self.listed.contains(&node) || own.iter().any(|(own, _)| *own == node);
+            let kept = kept || hub.is_banned(node);
             if !kept && !hub.in_flight(node) {
                 hub.backs().forget(node);
             }
--- a/crates/head/src/front/http.rs
+++ b/crates/head/src/front/http.rs
@@ -3,6 +3,7 @@
 use crate::back::http::{HttpJob, MOST_BODY};
 use crate::back::{Job, Reply};
 use crate::config::Config;
+use crate::figures::Status;
 use crate::hub::Hub;
 use crate::ids::Ids;
 use actix_codec::{AsyncRead, AsyncWrite, ReadBuf};
@@ -167,13 +168,15 @@
     pub connections: Connections,
     /// Answers close their connections.
     pub closing: Cell<bool>,
+    /// Operators have drained this head: `/healthz` says no, and clients are sent away.
+    pub drained: Cell<bool>,
 }
 
 impl HttpFront {
     /// A front that asks this hub.
     pub fn new(hub: Rc<Hub>, config: Rc<Config>) -> Rc<HttpFront> {
-        let (ids, connections, closing) = Default::default();
-        Rc::new(HttpFront { hub, config, ids, connections, closing })
+        let (ids, connections, closing, drained) = Default::default();
+        Rc::new(HttpFront { hub, config, ids, connections, closing, drained })
     }
 
     /// Accepts connections for as long as the future is polled.
@@ -250,7 +253,7 @@
             self.answer(&mut request, begun).await
         };
         // Guards against bad clients that stay: they get their error, and are rid of.
-        if self.closing.get() || response.status().is_client_error() {
+        if self.closing.get() || self.drained.get() || response.status().is_client_error() {
             response.head_mut().set_connection_type(ConnectionType::Close);
             busy.0.iter().for_each(|state| state.last.set(Some(Instant::now())));
         }
@@ -259,6 +262,9 @@
 
     async fn answer(&self, request: &mut Request, begun: Instant) -> Response<BoxBody> {
         if request.path() == "/healthz" && request.method() == Method::GET {
+            if self.drained.get() {
+                return plain(StatusCode::SERVICE_UNAVAILABLE, "drained");
+            }
             return plain(StatusCode::OK, "ok");
         }
         let read = match self.read(request) {
@@ -291,16 +297,20 @@
             return plain(StatusCode::CONFLICT, "Request-Id is in use");
         };
         let job = HttpJob { body, held: Some(held), ..read.job };
+        let class = read.ask.class;
         let Some(ticket) = self.hub.request(Ask { deadline, ..read.ask }, Job::Http(job)) else {
+            self.hub.figures.count(class, Status::Throttled);
             return refused(0.1);
         };
-        match ticket.answer().await {
+        let (status, response) = match ticket.answer().await {
             Answer::Served(Reply::Http(body)) => {
-                Response::build(StatusCode::OK).body(body).map_into_boxed_body()
+                (Status::Fulfilled, Response::build(StatusCode::OK).body(body).map_into_boxed_body())
             }
-            Answer::Refused(wait) => refused(wait as f64 / 1e6),
-            _ => plain(StatusCode::INTERNAL_SERVER_ERROR, "failed"),
-        }
+            Answer::Refused(wait) => (Status::Throttled, refused(wait as f64 / 1e6)),
+            _ => (Status::Faulted, plain(StatusCode::INTERNAL_SERVER_ERROR, "failed")),
+        };
+        self.hub.figures.count(class, status);
+        response
     }
 
     /// Reads what a request asks for, or says in one line what is wrong with it. All that a box would read is
--- a/crates/head/src/head.rs
+++ b/crates/head/src/head.rs
@@ -11,6 +11,7 @@
 use crate::front::http::{HttpFront, bind};
 use crate::front::ninep::NinepFront;
 use crate::hub::Hub;
+use crate::mgmt::Mgmt;
 use crate::tenants::Registry;
 use crate::vrrp::Carrier;
 use sedgerun_decide::api::Micros;
@@ -113,11 +114,16 @@
     tenants: Rc<RefCell<Registry>>,
     vrrp: Option<Rc<Carrier>>,
     accepting: Vec<AbortHandle>,
+    mgmt: Rc<Mgmt>,
+    /// The clients' listener came from the platform, which another process of this head shares.
+    inherited: bool,
 }
 
 /// What a head listens on, bound before it starts.
 struct Listeners {
     http: TcpListener,
+    inherited: bool,
+    mgmt: Option<TcpListener>,
     ninep: Option<TcpListener>,
     admin: Option<TcpListener>,
     vrrp: Option<UdpSocket>,
@@ -131,7 +137,14 @@
             tracing::info!("{key}: {}", listener.local_addr().map_err(failed)?);
             Ok::<_, String>(listener)
         };
-        let http = on("listen", config.listen).await?;
+        let (http, inherited) = match inherited()? {
+            Some(http) => (http, true),
+            None => (on("listen", config.listen).await?, false),
+        };
+        let mgmt = match config.mgmt {
+            Some(address) => Some(on("mgmt", address).await?),
+            None => None,
+        };
         let ninep = match config.operator.ninep {
             Some(address) => Some(on("ninep.listen", address).await?),
             None => None,
@@ -147,7 +160,7 @@
             }
             None => None,
         };
-        Ok(Listeners { http, ninep, admin, vrrp })
+        Ok(Listeners { http, inherited, mgmt, ninep, admin, vrrp })
     }
 }
 
@@ -168,7 +181,9 @@
         let tenants = Rc::new(RefCell::new(config.operator.tenants.clone()));
         let ninep = NinepFront::new(Rc::clone(&hub), Rc::clone(&config), Rc::clone(&tenants));
         let (phase, vrrp, accepting) = (Phase::Starting, None, Vec::new());
-        Head { phase, config, sources, hub, front, ninep, tenants, vrrp, accepting }
+        let mgmt = Mgmt::new(Rc::clone(&hub), Rc::clone(&front), Rc::clone(&config));
+        let inherited = false;
+        Head { phase, config, sources, hub, front, ninep, tenants, vrrp, accepting, mgmt, inherited }
     }
 
     /// Runs from start to exit.
@@ -196,7 +211,14 @@
     }
 
     fn start(&mut self, listeners: Option<Listeners>, at: watch::Receiver<SocketAddr>) -> Phase {
-        let Some(Listeners { http, ninep, admin, vrrp }) = listeners else { return Phase::Ended };
+        let Some(Listeners { http, inherited, mgmt, ninep, admin, vrrp }) = listeners else {
+            return Phase::Ended;
+        };
+        self.inherited = inherited;
+        actix_rt::spawn(Rc::clone(&self.mgmt).follow());
+        if let Some(listener) = mgmt {
+            actix_rt::spawn(Rc::clone(&self.mgmt).serve(listener));
+        }
         actix_rt::spawn(Rc::clone(&self.hub).run_timers());
         let mut discovery = Discovery::new(Rc::clone(&self.hub), Rc::clone(&self.config));
         discovery.take_known();
@@ -233,6 +255,7 @@
                 }
             });
         }
+        self.mgmt.ready.set(true);
         Phase::Serving
     }
 
@@ -248,6 +271,10 @@
     /// Keeps clients, nodes and discovery within the descriptors that the program may hold.
     fn keep_budget(&self) {
         self.front.connections.sweep(self.config.bounds.clients);
+        if self.front.drained.get() {
+            // Drained: clients are sent away, and none is held idle.
+            self.front.connections.close_idle(usize::MAX, Duration::ZERO);
+        }
         let held = std::fs::read_dir("/proc/self/fd").map_or(0, Iterator::count);
         let edge = (self.config.sockets as f64 * BUDGET_EDGE) as usize;
         if held > edge {
@@ -262,6 +289,11 @@
         if let Some(vrrp) = &self.vrrp {
             vrrp.stop();
         }
+        if self.inherited {
+            // Another process accepts on the same socket: new clients go there, and these are sent on.
+            self.accepting.drain(..).for_each(|accepting| accepting.abort());
+            self.front.closing.set(true);
+        }
         let classes = &self.config.settings.classes;
         let longest = classes.iter().map(|class| class.deadline).max().unwrap_or(0);
         let aim = classes.iter().map(|class| class.aim).min().unwrap_or(0);
@@ -329,3 +361,20 @@
         }
     }
 }
+
+/// The clients' listener that the platform hands on at an upgrade, as `$LB_ACCEPT_FD` names it; `None` where it
+/// names none. `run` tells it to `listenfd` as `LISTEN_FDS_FIRST_FD` and `LISTEN_FDS`.
+fn inherited() -> Result<Option<TcpListener>, String> {
+    let Some(named) = std::env::var("LB_ACCEPT_FD").ok().filter(|fd| !fd.is_empty()) else { return Ok(None) };
+    let failed = |error: std::io::Error| format!("LB_ACCEPT_FD {named}: {error}");
+    let mut fds = listenfd::ListenFd::from_env();
+    let Some(listener) = fds.take_tcp_listener(0).map_err(failed)? else {
+        return Err(format!(
+            "LB_ACCEPT_FD {named}: LISTEN_FDS does not hand it on; see deploy/balancer.toml"
+        ));
+    };
+    listener.set_nonblocking(true).map_err(failed)?;
+    let listener = TcpListener::from_std(listener).map_err(failed)?;
+    tracing::info!("listen: descriptor {named}, {:?}", listener.local_addr());
+    Ok(Some(listener))
+}
--- a/crates/head/src/hub.rs
+++ b/crates/head/src/hub.rs
@@ -3,10 +3,12 @@
 
 use crate::back::{Backs, Job, Reply};
 use crate::clock::Clock;
+use crate::figures::{Figures, Status};
 use sedgerun_core::exchange::{Answer, Ask, Effect, Ended, Exchange};
+use sedgerun_core::maintenance::{Bans, Verdict};
 use sedgerun_decide::api::{Ending, Listed, Micros, NodeId, RequestId, Scope, Settings};
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 use tokio::sync::{Notify, oneshot};
 use tokio::task::AbortHandle;
@@ -18,12 +20,17 @@
     backs: Backs,
     waiting: RefCell<HashMap<RequestId, oneshot::Sender<Answer<Reply>>>>,
     flights: RefCell<HashMap<(RequestId, u8), AbortHandle>>,
+    bans: RefCell<Bans>,
     carrying: Cell<bool>,
     armed: Cell<Micros>,
     rearm: Notify,
     watch: Notify,
     /// Told when a request got its final answer.
     pub settled: Notify,
+    /// The classes of open requests, for the figures.
+    classes: RefCell<HashMap<RequestId, usize>>,
+    /// What operators read.
+    pub figures: Figures,
 }
 
 /// A request on its way. Dropped before its answer, it tells the exchange that the client has gone.
@@ -47,6 +54,7 @@
     fn drop(&mut self) {
         if !self.done {
             self.hub.waiting.borrow_mut().remove(&self.id);
+            self.hub.classes.borrow_mut().remove(&self.id);
             let now = self.hub.clock.now();
             self.hub.with(|exchange| exchange.gone(now, self.id));
         }
@@ -62,11 +70,14 @@
             backs,
             waiting: RefCell::default(),
             flights: RefCell::default(),
+            bans: RefCell::default(),
             carrying: Cell::new(false),
             armed: Cell::new(Micros::MAX),
             rearm: Notify::new(),
             watch: Notify::new(),
             settled: Notify::new(),
+            classes: RefCell::default(),
+            figures: Figures::default(),
         })
     }
 
@@ -98,7 +109,9 @@
     /// Takes a request; `None` where there is no room for it.
     pub fn request(self: &Rc<Self>, ask: Ask, job: Job) -> Option<Ticket> {
         let (sender, answer) = oneshot::channel();
+        let class = ask.class;
         let id = self.exchange.borrow_mut().request(self.clock.now(), ask, job)?;
+        self.classes.borrow_mut().insert(id, class);
         self.waiting.borrow_mut().insert(id, sender);
         self.carry_out();
         Some(Ticket { hub: Rc::clone(self), id, answer, done: false })
@@ -106,17 +119,66 @@
 
     /// Tells how an attempt ended.
     pub fn outcome(self: &Rc<Self>, id: RequestId, attempt: u8, ended: Ended<Reply>) {
-        self.flights.borrow_mut().remove(&(id, attempt));
+        let flew = self.flights.borrow_mut().remove(&(id, attempt)).is_some();
+        let written = !matches!(ended.ending, Ending::ConnectFailed | Ending::Moot);
+        if flew && written {
+            self.relayed(id);
+        }
         let now = self.clock.now();
         self.with(|exchange| exchange.outcome(now, id, attempt, ended));
     }
 
-    /// Brings news of the list.
+    /// Brings news of the list. Bricks that operators have taken out are told as draining.
     pub fn list(self: &Rc<Self>, scope: Scope, nodes: Vec<Listed>) {
         let now = self.clock.now();
+        let nodes = self.bans.borrow_mut().filter(scope, nodes);
         self.with(|exchange| exchange.list(now, scope, nodes));
     }
 
+    /// Whether operators have taken a brick out.
+    pub fn is_banned(&self, node: NodeId) -> bool {
+        self.bans.borrow().is_banned(node)
+    }
+
+    /// The bricks that operators have taken out.
+    pub fn banned(&self) -> BTreeSet<NodeId> {
+        self.bans.borrow().banned().collect()
+    }
+
+    /// Bricks on the list, and those of them that are out of rotation.
+    pub fn rotation(&self) -> (usize, usize) {
+        let bans = self.bans.borrow();
+        (bans.listed(), bans.out_of_rotation())
+    }
+
+    /// Takes a brick out (`disable`) or puts it back; what the decisions hear follows at once.
+    pub fn ban(self: &Rc<Self>, node: NodeId, disable: bool) -> Result<(), &'static str> {
+        let now = self.clock.now();
+        let verdict = if disable {
+            self.bans.borrow_mut().disable(node)
+        } else {
+            self.bans.borrow_mut().enable(node, now)
+        };
+        match verdict {
+            Verdict::Yes(told) => {
+                if !told.is_empty() {
+                    self.with(|exchange| exchange.list(now, Scope::Delta, told));
+                }
+                Ok(())
+            }
+            Verdict::No(why) => Err(why),
+        }
+    }
+
+    /// Takes over the bans that another process of this head holds.
+    pub fn adopt(self: &Rc<Self>, banned: &BTreeSet<NodeId>) {
+        let now = self.clock.now();
+        let told = self.bans.borrow_mut().adopt(banned, now);
+        if !told.is_empty() {
+            self.with(|exchange| exchange.list(now, Scope::Delta, told));
+        }
+    }
+
     /// Waits until the controller wants a subscription.
     pub async fn wants_watch(&self) {
         self.watch.notified().await;
@@ -142,6 +204,12 @@
         }
     }
 
+    fn relayed(&self, id: RequestId) {
+        if let Some(class) = self.classes.borrow().get(&id) {
+            self.figures.count(*class, Status::Relayed);
+        }
+    }
+
     fn with(self: &Rc<Self>, act: impl FnOnce(&mut Exchange<Job, Reply>)) {
         act(&mut self.exchange.borrow_mut());
         self.carry_out();
@@ -158,11 +226,15 @@
             match effect {
                 Effect::Send { id, attempt, node, until, job } => self.send(id, attempt, node, until, job),
                 Effect::Cancel { id, attempt } => {
-                    if let Some(flight) = self.flights.borrow_mut().remove(&(id, attempt)) {
+                    let flight = self.flights.borrow_mut().remove(&(id, attempt));
+                    if let Some(flight) = flight {
                         flight.abort();
+                        // Given up while out: it was written, or as good as.
+                        self.relayed(id);
                     }
                 }
                 Effect::Final { id, answer } => {
+                    self.classes.borrow_mut().remove(&id);
                     if let Some(waiting) = self.waiting.borrow_mut().remove(&id) {
                         // The client may have gone in the meantime; then nobody is owed an answer.
                         let _ = waiting.send(answer);
--- a/crates/head/tests/standin/mod.rs
+++ b/crates/head/tests/standin/mod.rs
@@ -435,6 +435,7 @@
     pub http: SocketAddr,
     pub ninep: Option<SocketAddr>,
     pub admin: Option<SocketAddr>,
+    pub mgmt: Option<SocketAddr>,
     config: PathBuf,
     log: BufReader<std::process::ChildStderr>,
 }
@@ -500,7 +501,7 @@
     pub fn start(config: &Value, operator: Option<&str>) -> Program {
         let (mut child, config) = Program::launch_at(&config.to_string(), operator);
         let mut log = BufReader::new(child.stderr.take().expect("a log"));
-        let (mut http, mut ninep, mut admin) = (None, None, None);
+        let (mut http, mut ninep, mut admin, mut mgmt) = (None, None, None, None);
         let mut line = String::new();
         while !line.contains("Starting -> Serving") {
             line.clear();
@@ -509,8 +510,9 @@
             http = http.or(address(" listen: "));
             ninep = ninep.or(address(" ninep.listen: "));
             admin = admin.or(address(" admin.listen: "));
+            mgmt = mgmt.or(address(" mgmt: "));
         }
-        Program { child, http: http.expect("a listener"), ninep, admin, config, log }
+        Program { child, http: http.expect("a listener"), ninep, admin, mgmt, config, log }
     }
 
     /// Sends a request over HTTP on a connection of its own, and reads the answer.
@@ -526,6 +528,16 @@
         (lines.join("\n"), String::from_utf8(body).expect("text"))
     }
 
+    /// Says one line on the operators' address and reads the whole answer.
+    pub fn call(&self, line: &str) -> String {
+        let mut stream = TcpStream::connect(self.mgmt.expect("a mgmt address")).expect("a connection");
+        stream.set_read_timeout(Some(Duration::from_secs(5))).expect("a timeout");
+        stream.write_all(format!("{line}\n").as_bytes()).expect("sent");
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).expect("an answer");
+        answer
+    }
+
     pub fn terminate(&self) {
         self.signal("-TERM");
     }
