Request bodies over 64 KiB within an eighth of memory, with time for slow clients

Change: bodies.rs, a room of an eighth of memory for bodies over 64 KiB, taken while the request is open (a write is kept whole, since one that never ran may go out again) and given back at its end; no room now is a refusal with Retry-After 1, never sent on; more than the room can ever hold is a 413 that names the bound. A body has 2.2 s plus its length at 64 kB/s, and no piece may be later than 2 s. Figures are counted by the status of each answer under the class that its path names. A test sends 300 kB in 30 pieces over 3 s and gets 200.

--- a/crates/head/src/back/http.rs
+++ b/crates/head/src/back/http.rs
@@ -2,6 +2,7 @@
 
 use super::Reply;
 use super::answer::{Room, Whole};
+use crate::bodies::BodyTaken;
 use crate::ids::HeldId;
 use actix_http::{Method, StatusCode, Uri};
 use actix_rt::net::TcpStream;
@@ -19,7 +20,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// The largest body of a request.
+/// The largest body of a request that needs no room of its own.
 pub const MOST_BODY: usize = 64 * 1024;
 
 /// How long a connection rests behind an answer before it is used again.
@@ -42,6 +43,8 @@
     pub body: Bytes,
     /// Keeps the id from being used again for as long as the request, or an attempt of it, is open.
     pub held: Option<HeldId>,
+    /// What a body over 64 KiB takes of the room for bodies, for as long as the request is open.
+    pub taken: Option<BodyTaken>,
 }
 
 /// Spans that a client works with.
--- a/crates/head/src/config.rs
+++ b/crates/head/src/config.rs
@@ -97,6 +97,8 @@
     pub answers: usize,
     /// The largest body of an answer.
     pub answer: usize,
+    /// Bytes that bodies of requests over 64 KiB may take up, all together: an eighth of memory.
+    pub bodies: usize,
     /// The most 9P clients.
     pub ninep_clients: usize,
     /// Operations of one 9P client at once; past it the client's socket is not read.
@@ -116,6 +118,7 @@
             open: (4 * memory_mb).max(most_clients),
             answers: memory_mb << 18,
             answer: (memory_mb << 15).clamp(1 << 20, 4 << 20),
+            bodies: memory_mb << 17,
             ninep_clients: (sockets / 6).min(memory_mb).max(1),
             ninep_at_once: (memory_mb / 4).clamp(4, 64),
             ninep_fids: (4 * memory_mb).clamp(64, 4096),
--- a/crates/head/src/front/http.rs
+++ b/crates/head/src/front/http.rs
@@ -2,6 +2,7 @@
 
 use crate::back::http::{HttpJob, MOST_BODY};
 use crate::back::{Job, Reply};
+use crate::bodies::{BodyRoom, BodyTaken};
 use crate::config::Config;
 use crate::figures::Status;
 use crate::hub::Hub;
@@ -45,6 +46,11 @@
 const LAST_TIME: Duration = Duration::from_millis(300);
 /// A request of which nothing has come for so long has stalled.
 const STALLED: Duration = Duration::from_secs(1);
+/// The slowest that a client sends a body, in bytes a second: a body has its length's worth of time at this
+/// rate beyond the time for a whole request.
+const SLOWEST_BODY: f64 = 64_000.0;
+/// A body of which no piece has come for so long has stalled.
+const BODY_STALL: Duration = Duration::from_secs(2);
 
 /// A client connection as its owner sees it.
 #[derive(Debug)]
@@ -170,13 +176,15 @@
     pub closing: Cell<bool>,
     /// Operators have drained this head: `/healthz` says no, and clients are sent away.
     pub drained: Cell<bool>,
+    bodies: BodyRoom,
 }
 
 impl HttpFront {
     /// A front that asks this hub.
     pub fn new(hub: Rc<Hub>, config: Rc<Config>) -> Rc<HttpFront> {
         let (ids, connections, closing, drained) = Default::default();
-        Rc::new(HttpFront { hub, config, ids, connections, closing, drained })
+        let bodies = BodyRoom::new(config.bounds.bodies);
+        Rc::new(HttpFront { hub, config, ids, connections, closing, drained, bodies })
     }
 
     /// Accepts connections for as long as the future is polled.
@@ -252,6 +260,7 @@
         } else {
             self.answer(&mut request, begun).await
         };
+        self.count(&request, response.status());
         // Guards against bad clients that stay: they get their error, and are rid of.
         if self.closing.get() || self.drained.get() || response.status().is_client_error() {
             response.head_mut().set_connection_type(ConnectionType::Close);
@@ -260,6 +269,19 @@
         response
     }
 
+    /// Counts a final answer under its class, where the path names one: whatever the reason, a 200 is served,
+    /// a 429 or 503 refused, and anything else failed.
+    fn count(&self, request: &Request, status: StatusCode) {
+        let name = request.path().trim_start_matches('/').split('/').next().unwrap_or_default();
+        let Some(class) = self.config.class(name) else { return };
+        let counted = match status.as_u16() {
+            200 => Status::Fulfilled,
+            429 | 503 => Status::Throttled,
+            _ => Status::Faulted,
+        };
+        self.hub.figures.count(class, counted);
+    }
+
     async fn answer(&self, request: &mut Request, begun: Instant) -> Response<BoxBody> {
         if request.path() == "/healthz" && request.method() == Method::GET {
             if self.drained.get() {
@@ -271,22 +293,9 @@
             Ok(read) => read,
             Err((status, what)) => return plain(status, &what),
         };
-        let body = async {
-            let mut body = BytesMut::new();
-            let mut payload = request.take_payload();
-            while let Some(chunk) = payload.next().await {
-                let chunk = chunk.map_err(|_| (StatusCode::BAD_REQUEST, "malformed body"))?;
-                if body.len() + chunk.len() > MOST_BODY {
-                    return Err((StatusCode::PAYLOAD_TOO_LARGE, "body over 64 KiB"));
-                }
-                body.extend_from_slice(&chunk);
-            }
-            Ok(body.freeze())
-        };
-        let body = match tokio::time::timeout_at((begun + WHOLE_TIME).into(), body).await {
-            Ok(Ok(body)) => body,
-            Ok(Err((status, what))) => return plain(status, what),
-            Err(_) => return plain(StatusCode::REQUEST_TIMEOUT, "the body is late"),
+        let (body, taken) = match self.body(request, read.length, begun).await {
+            Ok(read) => read,
+            Err(response) => return response,
         };
         if read.job.method == Method::GET && !body.is_empty() {
             return plain(StatusCode::BAD_REQUEST, "a read has no body");
@@ -296,21 +305,66 @@
         let Some(held) = self.ids.hold(read.number) else {
             return plain(StatusCode::CONFLICT, "Request-Id is in use");
         };
-        let job = HttpJob { body, held: Some(held), ..read.job };
-        let class = read.ask.class;
+        let job = HttpJob { body, held: Some(held), taken, ..read.job };
         let Some(ticket) = self.hub.request(Ask { deadline, ..read.ask }, Job::Http(job)) else {
-            self.hub.figures.count(class, Status::Throttled);
             return refused(0.1);
         };
-        let (status, response) = match ticket.answer().await {
+        match ticket.answer().await {
             Answer::Served(Reply::Http(body)) => {
-                (Status::Fulfilled, Response::build(StatusCode::OK).body(body).map_into_boxed_body())
+                Response::build(StatusCode::OK).body(body).map_into_boxed_body()
             }
-            Answer::Refused(wait) => (Status::Throttled, refused(wait as f64 / 1e6)),
-            _ => (Status::Faulted, plain(StatusCode::INTERNAL_SERVER_ERROR, "failed")),
-        };
-        self.hub.figures.count(class, status);
-        response
+            Answer::Refused(wait) => refused(wait as f64 / 1e6),
+            _ => plain(StatusCode::INTERNAL_SERVER_ERROR, "failed"),
+        }
+    }
+
+    /// Reads a request's body whole: a body over 64 KiB takes room of its own, or is refused while there is none.
+    /// The body has its time at the slowest rate that clients send, and no piece may be later than 2 s.
+    async fn body(
+        &self,
+        request: &mut Request,
+        length: Option<u64>,
+        begun: Instant,
+    ) -> Result<(Bytes, Option<BodyTaken>), Response<BoxBody>> {
+        let expected = length.map_or(0, |length| length as usize);
+        let mut taken = None;
+        if expected > MOST_BODY {
+            taken = Some(self.bodies.take(expected).ok_or_else(|| refused(1.0))?);
+        }
+        let most = self.bodies.all().max(MOST_BODY);
+        let time =
+            WHOLE_TIME + Duration::from_secs_f64(most.min(expected.max(MOST_BODY)) as f64 / SLOWEST_BODY);
+        let until = tokio::time::Instant::from(begun + time);
+        let mut body = BytesMut::with_capacity(expected.min(MOST_BODY));
+        let mut payload = request.take_payload();
+        loop {
+            let next =
+                tokio::time::timeout_at(until.min(tokio::time::Instant::now() + BODY_STALL), payload.next());
+            let chunk = match next.await {
+                Ok(None) => break,
+                Ok(Some(Ok(chunk))) => chunk,
+                Ok(Some(Err(_))) => return Err(plain(StatusCode::BAD_REQUEST, "malformed body")),
+                Err(_) => return Err(plain(StatusCode::REQUEST_TIMEOUT, "the body is late")),
+            };
+            let size = body.len() + chunk.len();
+            let room = taken.as_ref().map_or(MOST_BODY, BodyTaken::bytes);
+            if size > room {
+                // A body without a length, or longer than it said, takes its room as it comes.
+                if size > most {
+                    return Err(plain(StatusCode::PAYLOAD_TOO_LARGE, &format!("body over {most} bytes")));
+                }
+                match &mut taken {
+                    Some(taken) => {
+                        if !taken.grow(size - room) {
+                            return Err(refused(1.0));
+                        }
+                    }
+                    None => taken = Some(self.bodies.take(size).ok_or_else(|| refused(1.0))?),
+                }
+            }
+            body.extend_from_slice(&chunk);
+        }
+        Ok((body.freeze(), taken))
     }
 
     /// Reads what a request asks for, or says in one line what is wrong with it. All that a box would read is
@@ -353,8 +407,9 @@
             return Err(bad("malformed target".to_owned()));
         }
         let length = headers.get("Content-Length").and_then(|value| value.to_str().ok()?.trim().parse().ok());
-        if length.is_some_and(|length: u64| length > MOST_BODY as u64) {
-            return Err((StatusCode::PAYLOAD_TOO_LARGE, "body over 64 KiB".to_owned()));
+        let most = self.bodies.all().max(MOST_BODY);
+        if length.is_some_and(|length: u64| length > most as u64) {
+            return Err((StatusCode::PAYLOAD_TOO_LARGE, format!("body over {most} bytes")));
         }
         // No client waits past its class's deadline; guards against requests that would be held for ever.
         let patience = (left_ms * 1000).min(self.config.settings.classes[class].deadline);
@@ -370,8 +425,9 @@
             }
         }
         let body = Bytes::new();
-        let job = HttpJob { id: id.to_owned(), method, target, headers: passed, body, held: None };
-        Ok(Read { number, patience, ask, job })
+        let (held, taken) = (None, None);
+        let job = HttpJob { id: id.to_owned(), method, target, headers: passed, body, held, taken };
+        Ok(Read { number, patience, ask, job, length })
     }
 }
 
@@ -381,6 +437,8 @@
     patience: Micros,
     ask: Ask,
     job: HttpJob,
+    /// What `Content-Length` says, where it is there.
+    length: Option<u64>,
 }
 
 /// An error for the client, and what is wrong.
--- a/crates/head/src/lib.rs
+++ b/crates/head/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admin;
 pub mod back;
+pub mod bodies;
 pub mod clock;
 pub mod command;
 pub mod config;
--- a/crates/head/tests/clients.rs
+++ b/crates/head/tests/clients.rs
@@ -151,3 +151,19 @@
     // Half of the third that is theirs stays free for those that ask.
     assert_eq!(closed.count(), 24);
 }
+
+#[test]
+fn a_large_body_sent_slowly_in_small_pieces_is_passed_on_whole() {
+    let (node, program) = one(Duration::ZERO, 1024);
+    let size = 300_000;
+    let head = write_request("a0", 20_000).replace("Content-Length: 4", &format!("Content-Length: {size}"));
+    let mut stream = connect(&program, head.trim_end_matches("body"));
+    // 3 s in all, beyond the 2.2 s that a whole request of 64 KiB has, and no piece later than 2 s.
+    for _ in 0..30 {
+        stream.write_all(&[b'x'; 10_000]).expect("sent");
+        thread::sleep(Duration::from_millis(100));
+    }
+    let (lines, _) = standin::read_http(&mut std::io::BufReader::new(stream)).expect("an answer");
+    assert!(lines[0].starts_with("HTTP/1.1 200"), "{lines:?}");
+    assert_eq!(node.runs("PUT"), 1);
+}
--- a/crates/head/tests/mgmt.rs
+++ b/crates/head/tests/mgmt.rs
@@ -52,7 +52,8 @@
 fn callers_that_say_nothing_hold_up_no_other() {
     let (_node, _discovery, program) = one();
     let address = program.mgmt.expect("mgmt");
-    let silent: Vec<TcpStream> = (0..40).map(|_| TcpStream::connect(address).expect("a connection")).collect();
+    let silent: Vec<TcpStream> =
+        (0..40).map(|_| TcpStream::connect(address).expect("a connection")).collect();
     let mut half = TcpStream::connect(address).expect("a connection");
     half.write_all(b"disable-ser").expect("sent");
     thread::sleep(Duration::from_millis(900));
