--- a/crates/head/tests/mgmt.rs
+++ b/crates/head/tests/mgmt.rs
@@ -91,3 +91,35 @@
     assert!(program.call("resume").starts_with("YES"));
     assert!(status(&program, probe).contains("200"));
 }
+
+#[test]
+fn bans_go_over_to_the_next_process_of_the_head_and_back() {
+    let node = StandIn::start("s-1", 3, Duration::ZERO, Fault::None);
+    let discovery = Discovery::start(vec![node.entry("ready")]);
+    let mut settings = config(discovery.address);
+    settings["mgmt"] = "127.0.0.1:0".into();
+    let shared = std::env::temp_dir().join(format!("sedgerun-bans-{}", std::process::id()));
+    std::fs::create_dir_all(&shared).expect("a folder");
+    let shared = shared.to_str().expect("a path").to_owned();
+    let old = Program::start_with(&settings, None, &[("TMPDIR", &shared)]);
+    thread::sleep(Duration::from_millis(200));
+    assert!(old.call("disable-server s-1").starts_with("YES"));
+    let new = Program::start_with(&settings, None, &[("TMPDIR", &shared)]);
+    thread::sleep(Duration::from_millis(300));
+    assert!(new.call("show-stat").contains("app_out_of_rotation 1\n"));
+    assert!(status(&new, &get("1", 600)).contains("503"));
+    assert_eq!(node.runs("GET"), 0);
+    // The call back may come to the new process; the old one hears of it through the file.
+    assert!(new.call("enable-server s-1").starts_with("YES"));
+    thread::sleep(Duration::from_millis(300));
+    assert!(old.call("show-stat").contains("app_out_of_rotation 0\n"));
+    assert!(status(&old, &get("1", 2000)).contains("200"));
+    // A spoilt file is named in the log, and the bans held stand.
+    assert!(new.call("disable-server s-1").starts_with("YES"));
+    thread::sleep(Duration::from_millis(300));
+    std::fs::write(format!("{shared}/sedgerun-bans"), "sedgerun bans 1\ns-1\n").expect("a file");
+    thread::sleep(Duration::from_millis(300));
+    assert!(new.call("show-stat").contains("app_out_of_rotation 1\n"));
+    assert!(old.call("show-stat").contains("app_out_of_rotation 1\n"));
+    let _ = std::fs::remove_dir_all(&shared);
+}
--- a/crates/head/tests/standin/mod.rs
+++ b/crates/head/tests/standin/mod.rs
@@ -484,6 +484,11 @@
 
     /// The same, and the path of its configuration.
     fn launch_at(config: &str, operator: Option<&str>) -> (Child, PathBuf) {
+        Program::launch_with(config, operator, &[])
+    }
+
+    /// The same, with more in its environment.
+    fn launch_with(config: &str, operator: Option<&str>, environment: &[(&str, &str)]) -> (Child, PathBuf) {
         let number = NUMBER.fetch_add(1, Ordering::SeqCst);
         let place = std::env::temp_dir().join(format!("sedgerun-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&place).expect("a folder");
@@ -491,6 +496,7 @@
         std::fs::write(&config_file, config).expect("a file");
         let mut command = Command::new(env!("CARGO_BIN_EXE_sedgerun"));
         command.env("LB_CONFIG", &config_file).env_remove("LB_OPERATOR").stderr(Stdio::piped());
+        command.envs(environment.iter().copied());
         if let Some(operator) = operator {
             std::fs::write(&operator_file, operator).expect("a file");
             command.env("LB_OPERATOR", operator_file);
@@ -499,7 +505,12 @@
     }
 
     pub fn start(config: &Value, operator: Option<&str>) -> Program {
-        let (mut child, config) = Program::launch_at(&config.to_string(), operator);
+        Program::start_with(config, operator, &[])
+    }
+
+    /// Starts it with more in its environment.
+    pub fn start_with(config: &Value, operator: Option<&str>, environment: &[(&str, &str)]) -> Program {
+        let (mut child, config) = Program::launch_with(&config.to_string(), operator, environment);
         let mut log = BufReader::new(child.stderr.take().expect("a log"));
         let (mut http, mut ninep, mut admin, mut mgmt) = (None, None, None, None);
         let mut line = String::new();
