--- a/crates/core/src/maintenance.rs
+++ b/crates/core/src/maintenance.rs
@@ -76,11 +76,6 @@
 }
 
 impl Bans {
-    /// Bans that start as these, from an earlier process of this head.
-    pub fn with(banned: impl IntoIterator<Item = NodeId>) -> Bans {
-        Bans { banned: banned.into_iter().collect(), listed: BTreeMap::new() }
-    }
-
     /// The banned bricks.
     pub fn banned(&self) -> impl Iterator<Item = NodeId> + '_ {
         self.banned.iter().copied()
@@ -101,11 +96,6 @@
         self.banned.iter().filter(|node| self.listed.contains_key(node)).count()
     }
 
-    /// Whether a brick is on the list.
-    pub fn knows(&self, node: NodeId) -> bool {
-        self.listed.contains_key(&node)
-    }
-
     /// News of the list on its way to the decisions: noted, and banned bricks turned into draining ones.
     pub fn filter(&mut self, scope: Scope, mut nodes: Vec<Listed>) -> Vec<Listed> {
         if matches!(scope, Scope::Full | Scope::Cached) {
@@ -221,7 +211,8 @@
 
     #[test]
     fn bans_of_an_earlier_process_hold_before_the_list_comes() {
-        let mut bans = Bans::with([NodeId(1)]);
+        let mut bans = Bans::default();
+        assert!(bans.adopt(&[NodeId(1)].into_iter().collect(), 6).is_empty());
         let told = bans.filter(Scope::Cached, vec![entry(1, Readiness::Ready)]);
         assert_eq!(told, vec![entry(1, Readiness::Draining)]);
         let lifted = bans.adopt(&BTreeSet::new(), 7);
--- a/crates/head/src/back/answer.rs
+++ b/crates/head/src/back/answer.rs
@@ -25,8 +25,8 @@
 /// The headers of an answer that are read.
 pub const READ_HEADERS: [&str; 3] = ["Not-Started", "X-Iops-Used", "X-Rho"];
 
-/// The bytes that bodies of answers may take up, all together and one by one. An answer that the settings call
-/// small can be large: boxes send 400 KB on some days.
+/// The bytes that bodies may take up, all together and one by one: those of answers (an answer that the
+/// settings call small can be large: boxes send 400 KB on some days), and those of requests over 64 KiB.
 #[derive(Clone, Debug)]
 pub struct Room {
     left: Rc<Cell<usize>>,
@@ -38,17 +38,34 @@
     pub fn new(all: usize, most_body: usize) -> Room {
         Room { left: Rc::new(Cell::new(all)), most_body }
     }
+
+    /// The most that one body may take.
+    pub fn most_body(&self) -> usize {
+        self.most_body
+    }
+
+    /// Takes so many bytes for one body; `None` where they are not free now, or are more than a body may take.
+    pub fn take(&self, bytes: usize) -> Option<Taken> {
+        let mut taken = Taken { room: self.clone(), bytes: 0 };
+        taken.grow(bytes as u64).ok().map(|()| taken)
+    }
 }
 
-/// What a body takes up of the room, until it is handed on.
+/// What a body takes up of the room, until it is handed on or dropped.
 #[derive(Debug)]
-struct Taken {
+pub struct Taken {
     room: Room,
     bytes: usize,
 }
 
 impl Taken {
-    fn grow(&mut self, bytes: u64) -> io::Result<()> {
+    /// The bytes taken.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Takes so many bytes more; an error where they are not free, or would make the body more than it may be.
+    pub fn grow(&mut self, bytes: u64) -> io::Result<()> {
         let bytes = usize::try_from(bytes).unwrap_or(usize::MAX);
         if bytes > self.room.most_body - self.bytes {
             return Err(spoilt("a body over the limit"));
@@ -261,3 +278,20 @@
         ActixStream::poll_write_ready(&self.stream, cx)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::Room;
+
+    #[test]
+    fn what_a_body_takes_comes_back_when_it_is_dropped() {
+        let room = Room::new(100, 100);
+        let mut first = room.take(60).expect("room");
+        assert!(room.take(50).is_none());
+        assert!(first.grow(40).is_ok());
+        assert!(first.grow(1).is_err());
+        assert_eq!(first.bytes(), 100);
+        drop(first);
+        assert!(room.take(100).is_some());
+    }
+}
--- a/crates/head/src/back/http.rs
+++ b/crates/head/src/back/http.rs
@@ -1,8 +1,7 @@
 //! Attempts over HTTP/1.1, with awc.
 
 use super::Reply;
-use super::answer::{Room, Whole};
-use crate::bodies::BodyTaken;
+use super::answer::{Room, Taken, Whole};
 use crate::ids::HeldId;
 use actix_http::{Method, StatusCode, Uri};
 use actix_rt::net::TcpStream;
@@ -44,7 +43,7 @@
     /// Keeps the id from being used again for as long as the request, or an attempt of it, is open.
     pub held: Option<HeldId>,
     /// What a body over 64 KiB takes of the room for bodies, for as long as the request is open.
-    pub taken: Option<BodyTaken>,
+    pub taken: Option<Taken>,
 }
 
 /// Spans that a client works with.
--- a/crates/head/src/config.rs
+++ b/crates/head/src/config.rs
@@ -245,12 +245,18 @@
 
     fn address(&self, name: &str) -> SocketAddr {
         let text = self.string(name);
-        text.parse().unwrap_or_else(|_| {
-            if !text.is_empty() {
-                self.fault(name, format!("{name} is not an address: {text}"));
-            }
-            SocketAddr::from(([127, 0, 0, 1], 0))
-        })
+        // An empty one is missing, and said so already.
+        let parsed = if text.is_empty() { None } else { self.parse_address(name, text) };
+        parsed.unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0)))
+    }
+
+    /// Reads an address, and notes one that is not.
+    fn parse_address(&self, name: &str, text: &str) -> Option<SocketAddr> {
+        let parsed = text.parse().ok();
+        if parsed.is_none() {
+            self.fault(name, format!("{name} is not an address: {text}"));
+        }
+        parsed
     }
 
     /// An address that may be missing; where the JSON has none, the environment's.
@@ -263,11 +269,7 @@
                 return None;
             }
         };
-        let parsed = text.parse().ok();
-        if parsed.is_none() {
-            self.fault(name, format!("{name} is not an address: {text}"));
-        }
-        parsed
+        self.parse_address(name, &text)
     }
 
     fn limit(&self, name: &str, least: u64, absent: u64) -> usize {
--- a/crates/head/src/front/http.rs
+++ b/crates/head/src/front/http.rs
@@ -1,8 +1,8 @@
 //! The platform's HTTP front, with actix-http: reads a request, asks the exchange, writes the answer.
 
+use crate::back::answer::{Room, Taken};
 use crate::back::http::{HttpJob, MOST_BODY};
 use crate::back::{Job, Reply};
-use crate::bodies::{BodyRoom, BodyTaken};
 use crate::config::Config;
 use crate::figures::Status;
 use crate::hub::Hub;
@@ -176,14 +176,15 @@
     pub closing: Cell<bool>,
     /// Operators have drained this head: `/healthz` says no, and clients are sent away.
     pub drained: Cell<bool>,
-    bodies: BodyRoom,
+    /// Room for bodies of requests over 64 KiB.
+    bodies: Room,
 }
 
 impl HttpFront {
     /// A front that asks this hub.
     pub fn new(hub: Rc<Hub>, config: Rc<Config>) -> Rc<HttpFront> {
         let (ids, connections, closing, drained) = Default::default();
-        let bodies = BodyRoom::new(config.bounds.bodies);
+        let bodies = Room::new(config.bounds.bodies, config.bounds.bodies);
         Rc::new(HttpFront { hub, config, ids, connections, closing, drained, bodies })
     }
 
@@ -269,10 +270,15 @@
         response
     }
 
+    /// The largest body of a request that can ever be taken.
+    fn most_body(&self) -> usize {
+        self.bodies.most_body().max(MOST_BODY)
+    }
+
     /// Counts a final answer under its class, where the path names one: whatever the reason, a 200 is served,
     /// a 429 or 503 refused, and anything else failed.
     fn count(&self, request: &Request, status: StatusCode) {
-        let name = request.path().trim_start_matches('/').split('/').next().unwrap_or_default();
+        let name = class_name(request.path());
         let Some(class) = self.config.class(name) else { return };
         let counted = match status.as_u16() {
             200 => Status::Fulfilled,
@@ -325,13 +331,13 @@
         request: &mut Request,
         length: Option<u64>,
         begun: Instant,
-    ) -> Result<(Bytes, Option<BodyTaken>), Response<BoxBody>> {
+    ) -> Result<(Bytes, Option<Taken>), Response<BoxBody>> {
         let expected = length.map_or(0, |length| length as usize);
         let mut taken = None;
         if expected > MOST_BODY {
             taken = Some(self.bodies.take(expected).ok_or_else(|| refused(1.0))?);
         }
-        let most = self.bodies.all().max(MOST_BODY);
+        let most = self.most_body();
         let time =
             WHOLE_TIME + Duration::from_secs_f64(most.min(expected.max(MOST_BODY)) as f64 / SLOWEST_BODY);
         let until = tokio::time::Instant::from(begun + time);
@@ -347,7 +353,7 @@
                 Err(_) => return Err(plain(StatusCode::REQUEST_TIMEOUT, "the body is late")),
             };
             let size = body.len() + chunk.len();
-            let room = taken.as_ref().map_or(MOST_BODY, BodyTaken::bytes);
+            let room = taken.as_ref().map_or(MOST_BODY, Taken::bytes);
             if size > room {
                 // A body without a length, or longer than it said, takes its room as it comes.
                 if size > most {
@@ -355,7 +361,7 @@
                 }
                 match &mut taken {
                     Some(taken) => {
-                        if !taken.grow(size - room) {
+                        if taken.grow((size - room) as u64).is_err() {
                             return Err(refused(1.0));
                         }
                     }
@@ -374,7 +380,7 @@
         let headers = request.headers();
         let id = text(headers, "Request-Id").map_err(bad)?;
         let number = hex(id).ok_or_else(|| bad(format!("malformed Request-Id {}", short(id))))?;
-        let name = request.path().trim_start_matches('/').split('/').next().unwrap_or_default();
+        let name = class_name(request.path());
         let unknown = |what: &str, name: &str| bad(format!("unknown {what} {}", short(name)));
         let class = self.config.class(name).ok_or_else(|| unknown("class", name))?;
         let plan_name = text(headers, "X-Qos-Policy").map_err(bad)?;
@@ -407,7 +413,7 @@
             return Err(bad("malformed target".to_owned()));
         }
         let length = headers.get("Content-Length").and_then(|value| value.to_str().ok()?.trim().parse().ok());
-        let most = self.bodies.all().max(MOST_BODY);
+        let most = self.most_body();
         if length.is_some_and(|length: u64| length > most as u64) {
             return Err((StatusCode::PAYLOAD_TOO_LARGE, format!("body over {most} bytes")));
         }
@@ -482,6 +488,11 @@
     value.to_str().map(str::trim).map_err(|_| format!("malformed {name}"))
 }
 
+/// The name of the class that a path names: its first part.
+fn class_name(path: &str) -> &str {
+    path.trim_start_matches('/').split('/').next().unwrap_or_default()
+}
+
 /// What a client sent, cut short for an answer to it.
 fn short(text: &str) -> String {
     format!("{:?}", text.chars().take(64).collect::<String>())
--- a/crates/head/src/hub.rs
+++ b/crates/head/src/hub.rs
@@ -161,9 +161,7 @@
         };
         match verdict {
             Verdict::Yes(told) => {
-                if !told.is_empty() {
-                    self.with(|exchange| exchange.list(now, Scope::Delta, told));
-                }
+                self.tell(now, told);
                 Ok(())
             }
             Verdict::No(why) => Err(why),
@@ -174,6 +172,11 @@
     pub fn adopt(self: &Rc<Self>, banned: &BTreeSet<NodeId>) {
         let now = self.clock.now();
         let told = self.bans.borrow_mut().adopt(banned, now);
+        self.tell(now, told);
+    }
+
+    /// Tells the decisions of entries that a ban changed, as changes of the list.
+    fn tell(self: &Rc<Self>, now: Micros, told: Vec<Listed>) {
         if !told.is_empty() {
             self.with(|exchange| exchange.list(now, Scope::Delta, told));
         }
--- a/crates/head/src/lib.rs
+++ b/crates/head/src/lib.rs
@@ -6,7 +6,6 @@
 
 pub mod admin;
 pub mod back;
-pub mod bodies;
 pub mod clock;
 pub mod command;
 pub mod config;
--- a/crates/head/src/mgmt.rs
+++ b/crates/head/src/mgmt.rs
@@ -114,9 +114,6 @@
                 tracing::info!("mgmt: resumed");
                 "YES resumed\n".to_owned()
             }
-            Call::Disable(id) | Call::Enable(id) if self.hub.backs().names.find(&id).is_none() => {
-                format!("NO no brick {id:?} is known\n")
-            }
             Call::Disable(id) => self.ban(&id, true),
             Call::Enable(id) => self.ban(&id, false),
         }
