--- a/crates/head/src/discovery.rs
+++ b/crates/head/src/discovery.rs
@@ -1,4 +1,5 @@
-//! The watch on discovery's list: one call after the other, for as long as the program lives.
+//! The watch on discovery's list: one call after the other, for as long as the program lives. Where lists are
+//! asked for, the decisions say when to watch again; where they are pushed, an agent on this machine is called.
 
 use crate::back::Backs;
 use crate::back::answer::Room;
@@ -6,7 +7,7 @@
 use crate::config::Config;
 use crate::hub::Hub;
 use awc::Client;
-use sedgerun_decide::api::{Listed, Micros, NodeId, Readiness, Scope};
+use sedgerun_decide::api::{Listed, Micros, NodeId, Readiness, Scope, Settings};
 use serde_json::Value;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -22,11 +23,40 @@
 const MOVE: Duration = Duration::from_secs(4);
 /// Wait between calls to a new discovery that does not answer yet.
 const MOVE_WAIT: Duration = Duration::from_millis(200);
+/// The shortest wait on an agent, where the settings give drains no grace to take it from.
+const LEAST_PUSHED: Duration = Duration::from_millis(100);
+/// Rest after an agent that refuses, or that answers at once with nothing newer: guards against a busy loop.
+const REST: Duration = Duration::from_millis(50);
 /// What an error of a list that came but cannot be read begins with.
 const MALFORMED: &str = "malformed list";
 /// The largest list that is read.
 const MOST_LIST: usize = 1 << 20;
 
+/// How calls are paced: it follows from whether lists are asked for or pushed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Pace {
+    /// A service for all heads is asked, at the pace that the decisions set; else this machine's agent is.
+    asked: bool,
+    /// How long a call may wait for news.
+    wait: Duration,
+    /// Time past the wait after which the call counts as lost.
+    lost: Duration,
+}
+
+impl Pace {
+    fn new(settings: &Settings) -> Pace {
+        if settings.permits.must_ask {
+            return Pace { asked: true, wait: WAIT, lost: LOST };
+        }
+        // Guards against a drain that the agent has while this head waits on a call that a silent agent will
+        // never answer: what the agent has counts as told. Wait and loss together stay within three quarters
+        // of the grace, and a call to the agent costs nobody anything.
+        let grace = Duration::from_micros(settings.rules.drain_grace);
+        let (wait, lost) = ((grace / 2).max(LEAST_PUSHED), (grace / 4).max(LEAST_PUSHED));
+        Pace { asked: false, wait: wait.min(WAIT), lost: lost.min(LOST) }
+    }
+}
+
 /// A list as discovery gives it.
 #[derive(Debug, PartialEq)]
 pub struct List {
@@ -86,6 +116,9 @@
     config: Rc<Config>,
     client: Client,
     address: SocketAddr,
+    pace: Pace,
+    /// The last call of the agent failed; said once, not at each call.
+    silent: bool,
     /// When it was sent to this address, until something has come from there.
     moved: Option<Instant>,
     generation: Option<u64>,
@@ -98,10 +131,11 @@
 impl Discovery {
     /// A watch that tells this hub.
     pub fn new(hub: Rc<Hub>, config: Rc<Config>) -> Discovery {
-        let address = config.discovery;
+        let (address, pace) = (config.discovery, Pace::new(&config.settings));
         let (client, generation) = (fresh_client(), None);
         let (told, listed) = Default::default();
-        Discovery { hub, config, client, address, moved: None, generation, told, listed }
+        let (silent, moved) = (false, None);
+        Discovery { hub, config, client, address, pace, silent, moved, generation, told, listed }
     }
 
     /// Goes to another discovery: its versions are its own, so that the whole list is asked for. The old list
@@ -123,14 +157,18 @@
         self.hub.list(Scope::Cached, self.untold());
     }
 
-    /// Watches whenever the controller asks for it, until a call fails; and at once at a new address.
+    /// Watches for as long as the program lives; an asked list when the controller wants it, until a call
+    /// fails; a pushed one always; and at once at a new address.
     pub async fn run(mut self, mut at: watch::Receiver<SocketAddr>) {
         loop {
             tokio::select! {
-                () = self.hub.wants_watch() => {}
+                () = self.hub.wants_watch(), if self.pace.asked => {}
+                // The decisions never ask for what is pushed: there is nothing to wait for.
+                () = std::future::ready(()), if !self.pace.asked => {}
                 Ok(()) = at.changed() => self.go(*at.borrow_and_update()),
             }
             loop {
+                let (since, begun) = (self.generation, Instant::now());
                 let called = tokio::select! {
                     biased;
                     // The call that waits is dropped: what the old discovery would say is of no use.
@@ -143,35 +181,50 @@
                 match called {
                     Ok(list) => {
                         self.moved = None;
+                        if std::mem::take(&mut self.silent) {
+                            tracing::info!("discovery: answers again");
+                        }
+                        let news = since != Some(list.generation);
                         let scope = if list.whole { Scope::Full } else { Scope::Delta };
                         self.tell(scope, list);
-                    }
-                    Err(what) => {
-                        tracing::warn!("discovery: {what}");
-                        // Guards against asking for the same malformed changes for ever.
-                        if what.starts_with(MALFORMED) {
-                            self.generation = None;
+                        if !self.pace.asked && !news && begun.elapsed() < REST {
+                            tokio::time::sleep(REST).await;
                         }
-                        // Guards against a back-off that outlasts the time in which a new discovery counts
-                        // as having told.
-                        if self.moved.is_some_and(|moved| moved.elapsed() < MOVE) {
-                            tokio::time::sleep(MOVE_WAIT).await;
-                            continue;
-                        }
-                        self.hub.list(Scope::Failed, Vec::new());
-                        break;
                     }
+                    Err(what) => match self.failed(&what) {
+                        Some(rest) => tokio::time::sleep(rest.saturating_sub(begun.elapsed())).await,
+                        None => {
+                            self.hub.list(Scope::Failed, Vec::new());
+                            break;
+                        }
+                    },
                 }
             }
         }
     }
 
+    /// A call failed: how long after its beginning the next one is made; `None` where the decisions say that.
+    fn failed(&mut self, what: &str) -> Option<Duration> {
+        if !std::mem::replace(&mut self.silent, !self.pace.asked) {
+            tracing::warn!("discovery: {what}");
+        }
+        // Guards against asking for the same malformed changes for ever.
+        if what.starts_with(MALFORMED) {
+            self.generation = None;
+        }
+        // Guards against a back-off that outlasts the time in which a new discovery counts as having told.
+        if self.moved.is_some_and(|moved| moved.elapsed() < MOVE) {
+            return Some(MOVE_WAIT);
+        }
+        (!self.pace.asked).then_some(REST)
+    }
+
     async fn call(&self) -> Result<List, String> {
         let address = self.address;
         let (url, wait) = match self.generation {
             Some(since) => {
-                let wait = WAIT.as_millis();
-                (format!("http://{address}/v1/servers?since={since}&timeout_ms={wait}"), WAIT)
+                let wait = self.pace.wait.as_millis();
+                (format!("http://{address}/v1/servers?since={since}&timeout_ms={wait}"), self.pace.wait)
             }
             None => (format!("http://{address}/v1/servers"), Duration::ZERO),
         };
@@ -183,7 +236,9 @@
             }
             response.body().limit(MOST_LIST).await.map_err(|error| format!("answer broke off: {error}"))
         };
-        let body = tokio::time::timeout(wait + LOST, exchange).await.map_err(|_| "no answer in time")??;
+        let body = tokio::time::timeout(wait + self.pace.lost, exchange)
+            .await
+            .map_err(|_| "no answer in time")??;
         let json = serde_json::from_slice(&body).map_err(|error| format!("{MALFORMED}: {error}"))?;
         read_list(&json, &self.config.zones, |id| self.number(id))
             .map_err(|what| format!("{MALFORMED}: {what}"))
--- a/crates/head/tests/standin/mod.rs
+++ b/crates/head/tests/standin/mod.rs
@@ -9,7 +9,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -64,13 +64,16 @@
 pub struct Discovery {
     pub address: SocketAddr,
     list: Arc<(Mutex<List>, Condvar)>,
+    /// Calls that wait or come while it is set are never answered, not even afterwards.
+    silent: Arc<AtomicBool>,
 }
 
 impl Discovery {
     pub fn start(entries: Vec<Value>) -> Discovery {
         let (listener, address) = listener();
         let list = Arc::new((Mutex::new((1, entries)), Condvar::new()));
-        let held = Arc::clone(&list);
+        let (held, silent) = (Arc::clone(&list), Arc::<AtomicBool>::default());
+        let mute = Arc::clone(&silent);
         serve(listener, move |stream| {
             let mut writer = stream.try_clone().expect("a clone");
             let mut reader = BufReader::new(stream);
@@ -79,9 +82,15 @@
                 let since: u64 = since.and_then(|since| since.parse().ok()).unwrap_or(0);
                 let (lock, changed) = &*held;
                 let guard = lock.lock().expect("a list");
-                let wait = Duration::from_secs(5);
-                let (guard, _) =
-                    changed.wait_timeout_while(guard, wait, |list| list.0 <= since).expect("a list");
+                let wait = lines[0].split("timeout_ms=").nth(1).and_then(|rest| rest.split(' ').next());
+                let wait = Duration::from_millis(wait.and_then(|wait| wait.parse().ok()).unwrap_or(0));
+                let waits = |list: &mut List| list.0 <= since && !mute.load(Ordering::SeqCst);
+                let (guard, _) = changed.wait_timeout_while(guard, wait, waits).expect("a list");
+                if mute.load(Ordering::SeqCst) {
+                    drop(guard);
+                    while read_http(&mut reader).is_some() {}
+                    return;
+                }
                 let body = json!({"generation": guard.0, "reset": true, "instances": guard.1}).to_string();
                 drop(guard);
                 let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
@@ -90,7 +99,13 @@
                 }
             }
         });
-        Discovery { address, list }
+        Discovery { address, list, silent }
+    }
+
+    /// Falls silent, or answers new calls again.
+    pub fn silence(&self, silent: bool) {
+        self.silent.store(silent, Ordering::SeqCst);
+        self.list.1.notify_all();
     }
 
     pub fn set(&self, entries: Vec<Value>) {
