--- /dev/null
+++ b/crates/fleet/src/greeting.rs
@@ -0,0 +1,113 @@
+//! What two heads say first on a connection, and whether they go on.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+/// Which store speaks: made once when a folder is first used, and never again. A wiped disk has a new one, so
+/// that it can never pass for the store that it was.
+pub type StoreId = u64;
+
+/// The words of a head.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Greeting {
+    /// The fleet's name in the settings.
+    pub fleet: String,
+    /// What all heads of the fleet know and nobody else.
+    pub secret: String,
+    /// The head's name.
+    pub head: String,
+    /// Its store; `None` from the command line.
+    pub store: Option<StoreId>,
+    /// Counted up and synced at each start of the store.
+    pub life: u64,
+    /// The origin of what it holds: a digest of the first keepers' stores, `None` while it holds nothing.
+    pub origin: Option<u64>,
+}
+
+/// Why a head is not spoken to.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Refusal {
+    /// It is of a fleet with another name.
+    Fleet,
+    /// It does not know the secret.
+    Secret,
+    /// It holds the state of another fleet, though of the same name.
+    Origin,
+    /// It has this head's name, and is another store.
+    Name,
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Refusal::Fleet => "of another fleet",
+            Refusal::Secret => "wrong secret",
+            Refusal::Origin => "holds the state of another fleet of this name",
+            Refusal::Name => "two heads have this name",
+        })
+    }
+}
+
+/// Whether a head goes on with one that said this.
+pub fn admit(own: &Greeting, theirs: &Greeting) -> Result<(), Refusal> {
+    if !same(own.secret.as_bytes(), theirs.secret.as_bytes()) {
+        return Err(Refusal::Secret);
+    }
+    if own.fleet != theirs.fleet {
+        return Err(Refusal::Fleet);
+    }
+    // Guards against two fleets that were each set up under one name: their logs must never mix.
+    if own.origin.zip(theirs.origin).is_some_and(|(own, theirs)| own != theirs) {
+        return Err(Refusal::Origin);
+    }
+    let stores = own.store.zip(theirs.store);
+    if own.head == theirs.head && stores.is_some_and(|(own, theirs)| own != theirs) {
+        return Err(Refusal::Name);
+    }
+    Ok(())
+}
+
+/// Compared in a time that tells nothing of where they differ.
+fn same(a: &[u8], b: &[u8]) -> bool {
+    a.len() == b.len() && a.iter().zip(b).fold(0, |differ, (a, b)| differ | (a ^ b)) == 0
+}
+
+/// The origin of a fleet that these stores begin: the same whoever computes it.
+pub fn origin(stores: impl IntoIterator<Item = StoreId>) -> u64 {
+    let mut stores: Vec<StoreId> = stores.into_iter().collect();
+    stores.sort_unstable();
+    // FNV-1a over the sorted names: they are random already.
+    let bytes = stores.iter().flat_map(|store| store.to_le_bytes());
+    bytes.fold(0xcbf2_9ce4_8422_2325, |sum, byte| (sum ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn strangers_are_refused_each_with_its_reason() {
+        let own = Greeting {
+            fleet: "sesvete".into(),
+            secret: "known to the fleet".into(),
+            head: "h1".into(),
+            store: Some(1),
+            life: 4,
+            origin: Some(9),
+        };
+        let other = Greeting { head: "h2".into(), store: Some(2), ..own.clone() };
+        assert_eq!(admit(&own, &other), Ok(()));
+        assert_eq!(admit(&own, &Greeting { origin: None, ..other.clone() }), Ok(()));
+        let fleet = Greeting { fleet: "perth".into(), ..other.clone() };
+        assert_eq!(admit(&own, &fleet), Err(Refusal::Fleet));
+        let secret = Greeting { secret: "known to the fleeT".into(), ..other.clone() };
+        assert_eq!(admit(&own, &secret), Err(Refusal::Secret));
+        assert_eq!(admit(&own, &Greeting { origin: Some(8), ..other.clone() }), Err(Refusal::Origin));
+        assert_eq!(admit(&own, &Greeting { head: "h1".into(), ..other.clone() }), Err(Refusal::Name));
+        // The command line of the same head has no store.
+        let line = Greeting { head: "h1".into(), store: None, ..other };
+        assert_eq!((admit(&own, &line), admit(&line, &own)), (Ok(()), Ok(())));
+        assert_eq!(origin([3, 1, 2]), origin([1, 2, 3]));
+        assert_ne!(origin([1, 2]), origin([1, 2, 3]));
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,9 @@
+//! Decisions of heads that keep state for each other: what is held, how a change to it is applied, how records
+//! are written down, and who is spoken to. No I/O, clock, socket or thread; the same input gives the same output.
+//!
+//! [`state`] is what every keeper holds and every change does to it; [`record`] wraps whatever goes to a disk or
+//! to another head in a format version and a checksum; [`greeting`] decides whether two heads may speak.
+
+pub mod greeting;
+pub mod record;
+pub mod state;
--- a/crates/head/src/admin.rs
+++ b/crates/head/src/admin.rs
@@ -2,6 +2,7 @@
 //! bearer token, on a listener of its own.
 
 use crate::config::Config;
+use crate::fleet::{Fleet, read_export};
 use crate::front::ninep::NinepFront;
 use crate::hub::Hub;
 use crate::operator::Admin;
@@ -12,7 +13,8 @@
 use actix_service::{Service, ServiceFactory, fn_service};
 use bytes::BytesMut;
 use futures_util::StreamExt;
-use sedgerun_settings::{Pairs, platform::flatten};
+use sedgerun_fleet::state::Fields;
+use sedgerun_settings::platform::flatten;
 use serde_json::{Value, json};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -43,11 +45,15 @@
     pub ninep: Rc<NinepFront>,
     /// The virtual router, where there is one.
     pub vrrp: Option<Rc<Carrier>>,
+    /// The fleet that holds the tenants, where there is one.
+    pub fleet: Option<Rc<Fleet>>,
 }
 
-type Said = (StatusCode, Value);
+/// An answer: its status and its body.
+pub type Said = (StatusCode, Value);
 
-fn error(status: StatusCode, what: impl Into<String>) -> Said {
+/// An answer that says what is wrong.
+pub fn error(status: StatusCode, what: impl Into<String>) -> Said {
     (status, json!({"error": what.into()}))
 }
 
@@ -81,9 +87,13 @@
     }
 
     async fn respond(&self, mut request: Request) -> Response<BoxBody> {
+        let mut version = None;
         let (status, body) = if self.allowed(&request) {
             match tokio::time::timeout(REQUEST_TIME, read_body(&mut request)).await {
-                Ok(Ok(body)) => self.route(&request, &body),
+                Ok(Ok(body)) => match &self.fleet {
+                    Some(fleet) => self.by_fleet(fleet, &request, &body, &mut version).await,
+                    None => self.route(&request, &body),
+                },
                 Ok(Err(said)) => said,
                 Err(_) => error(StatusCode::REQUEST_TIMEOUT, "the body is late"),
             }
@@ -95,6 +105,9 @@
         if status == StatusCode::UNAUTHORIZED {
             response.insert_header(("WWW-Authenticate", "Bearer"));
         }
+        if let Some(version) = version {
+            response.insert_header(("Fleet-Version", version));
+        }
         let body = if body.is_null() { String::new() } else { format!("{body}\n") };
         let mut response = response.body(body).map_into_boxed_body();
         // What was not read to its end cannot be told from the next request.
@@ -113,7 +126,8 @@
         brought.len() == token.len() && differ == 0
     }
 
-    fn route(&self, request: &Request, body: &[u8]) -> Said {
+    /// Answers from what this head works with.
+    pub fn route(&self, request: &Request, body: &[u8]) -> Said {
         let parts: Vec<&str> = request.path().trim_matches('/').split('/').collect();
         let method = request.method();
         match (method, parts.as_slice()) {
@@ -164,7 +178,7 @@
         let mut exports = Vec::new();
         for (i, export) in listed.iter().enumerate() {
             match self.export(name, None, export) {
-                Ok(export) => exports.push(export),
+                Ok((_, export)) => exports.push(export),
                 Err(what) => return error(StatusCode::BAD_REQUEST, format!("exports.{i}: {what}")),
             }
         }
@@ -186,7 +200,7 @@
             return error(StatusCode::BAD_REQUEST, "malformed JSON");
         };
         let read = match self.export(name, Some(export), &json) {
-            Ok(read) => read,
+            Ok((_, read)) => read,
             Err(what) => return error(StatusCode::BAD_REQUEST, what),
         };
         let mut changed = self.tenants.borrow().clone();
@@ -198,27 +212,26 @@
         self.written(name, fresh)
     }
 
-    fn written(&self, name: &str, fresh: bool) -> Said {
+    /// The answer to a tenant that was put in place.
+    pub fn written(&self, name: &str, fresh: bool) -> Said {
         let status = if fresh { StatusCode::CREATED } else { StatusCode::OK };
         let tenants = self.tenants.borrow();
         (status, tenants.all().get(name).map_or(Value::Null, |exports| self.tenant(name, exports)))
     }
 
-    /// Reads an export in the operator's file's own terms.
-    fn export(&self, tenant: &str, name: Option<&str>, json: &Value) -> Result<Export, String> {
+    /// Reads an export in the operator's file's own terms: its fields but tenant and name, and what they mean here.
+    pub fn export(&self, tenant: &str, name: Option<&str>, json: &Value) -> Result<(Fields, Export), String> {
         let mut fields = json.as_object().ok_or("an export is an object")?.clone();
         if let Some(unknown) = fields.keys().find(|key| !Export::KEYS.contains(&key.as_str())) {
             return Err(format!("setting {unknown} is unknown"));
         }
-        fields.insert("tenant".into(), tenant.into());
-        if let Some(name) = name {
-            fields.insert("name".into(), name.into());
-        }
-        let mut pairs = BTreeMap::new();
-        flatten("", &Value::Object(fields), &mut pairs);
-        let pairs = Pairs::from_map(&pairs);
-        let (_, export) = Export::read(&pairs, "", self.config.catalogue());
-        pairs.finish(export).map_err(|faults| faults.to_string())
+        fields.remove("tenant");
+        let own = fields.remove("name");
+        let name = name.or(own.as_ref().and_then(Value::as_str)).unwrap_or_default();
+        let mut plain = BTreeMap::new();
+        flatten("", &Value::Object(fields), &mut plain);
+        let export = read_export(&self.config, tenant, name, &plain)?;
+        Ok((plain, export))
     }
 
     fn tenant(&self, name: &str, exports: &BTreeMap<String, Rc<Export>>) -> Value {
@@ -230,7 +243,11 @@
                 "largeClass": config.classes[export.large], "largeBytes": export.large_bytes,
                 "unitBytes": export.unit_bytes})
         });
-        json!({"tenant": name, "exports": exports.collect::<Vec<Value>>()})
+        let mut told = json!({"tenant": name, "exports": exports.collect::<Vec<Value>>()});
+        if let Some(fleet) = &self.fleet {
+            told["version"] = fleet.tenant_version(name).into();
+        }
+        told
     }
 }
 
--- /dev/null
+++ b/crates/head/src/bounds.rs
@@ -0,0 +1,45 @@
+//! What the limits on memory and descriptors leave for each part of a head.
+
+/// Bounds that follow from the limits on memory and descriptors.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bounds {
+    /// HTTP clients past which idle ones are closed. Clients have a third of the descriptors for requests; were
+    /// it full of connections that stay, none would be left for those that ask.
+    pub clients: usize,
+    /// The most HTTP clients at all; boxes and discovery keep the rest of the descriptors.
+    pub most_clients: usize,
+    /// Requests that memory has room for, each with a full body on either side.
+    pub open: usize,
+    /// Bytes that bodies of answers may take up on their way, all together.
+    pub answers: usize,
+    /// The largest body of an answer.
+    pub answer: usize,
+    /// Bytes that bodies of requests over 64 KiB may take up, all together: an eighth of memory.
+    pub bodies: usize,
+    /// The most 9P clients.
+    pub ninep_clients: usize,
+    /// Operations of one 9P client at once; past it the client's socket is not read.
+    pub ninep_at_once: usize,
+    /// The most fids of a 9P client.
+    pub ninep_fids: usize,
+}
+
+impl Bounds {
+    /// The bounds of a head that may hold so many descriptors and so many MiB.
+    pub fn new(sockets: usize, memory_mb: usize) -> Bounds {
+        let clients = (sockets / 6).max(4);
+        // A client that sends as fast as it can costs up to 128 KiB before it is cut off.
+        let most_clients = (sockets * 5 / 8).min(5 * memory_mb).max(sockets / 3);
+        Bounds {
+            clients,
+            most_clients,
+            open: (4 * memory_mb).max(most_clients),
+            answers: memory_mb << 18,
+            answer: (memory_mb << 15).clamp(1 << 20, 4 << 20),
+            bodies: memory_mb << 17,
+            ninep_clients: (sockets / 6).min(memory_mb).max(1),
+            ninep_at_once: (memory_mb / 4).clamp(4, 64),
+            ninep_fids: (4 * memory_mb).clamp(64, 4096),
+        }
+    }
+}
--- a/crates/head/src/command.rs
+++ b/crates/head/src/command.rs
@@ -3,6 +3,7 @@
 //! them.
 
 use crate::config::Sources;
+use crate::fleet::{Fleet, tell};
 use crate::head::{Head, Signals};
 use crate::logging;
 use clap::{Args, CommandFactory, Parser, Subcommand, ValueEnum};
@@ -45,6 +46,11 @@
         #[arg(long)]
         convert: bool,
     },
+    /// Ask the heads of the fleet, or begin it
+    Fleet {
+        #[command(subcommand)]
+        ask: Ask,
+    },
     /// Print completions for a shell
     Completions {
         /// The shell
@@ -52,6 +58,18 @@
     },
 }
 
+#[derive(Subcommand)]
+enum Ask {
+    /// How each keeper stands
+    Status {
+        /// As JSON
+        #[arg(long)]
+        json: bool,
+    },
+    /// Begin the fleet with the keepers of this head's settings, none of which may hold anything yet
+    Begin,
+}
+
 #[derive(Clone, Copy, ValueEnum)]
 enum LogForm {
     /// Lines for people
@@ -62,6 +80,8 @@
 
 /// Exit status where settings are at fault.
 const FAULTY: u8 = 2;
+/// Exit status of a head that could not start, or run on.
+const FAILED: u8 = 1;
 
 /// Runs the command line.
 pub fn main() -> ExitCode {
@@ -74,16 +94,8 @@
             };
             serve(sources(files), &log, form)
         }
-        Some(Command::Check { convert }) => match check(files, convert) {
-            Ok(said) => {
-                print!("{said}");
-                ExitCode::SUCCESS
-            }
-            Err(faults) => {
-                faults.0.iter().for_each(|fault| eprintln!("{fault}"));
-                ExitCode::from(FAULTY)
-            }
-        },
+        Some(Command::Check { convert }) => said(check(files, convert)),
+        Some(Command::Fleet { ask }) => said(fleet(files, &ask)),
         Some(Command::Completions { shell }) => {
             clap_complete::generate(shell, &mut Cli::command(), "sedgerun", &mut std::io::stdout());
             ExitCode::SUCCESS
@@ -91,6 +103,31 @@
     }
 }
 
+/// Prints what came out, or all that is wrong.
+fn said(said: Result<String, Faults>) -> ExitCode {
+    match said {
+        Ok(said) => {
+            print!("{said}");
+            ExitCode::SUCCESS
+        }
+        Err(faults) => {
+            faults.0.iter().for_each(|fault| eprintln!("{fault}"));
+            ExitCode::from(FAULTY)
+        }
+    }
+}
+
+fn fleet(files: Files, ask: &Ask) -> Result<String, Faults> {
+    let config = sources(files)?.read()?;
+    let missing = || Faults::one("fleet", "the operator's file has no (fleet ...)", None);
+    let settings = config.operator.fleet.as_ref().ok_or_else(missing)?;
+    let asked = match ask {
+        Ask::Status { json } => tell::status(settings, &config.name, *json),
+        Ask::Begin => tell::begin(settings, &config.name),
+    };
+    asked.map_err(|what| Faults::one("fleet", format!("fleet: {what}"), None))
+}
+
 /// Runs one head from start to exit; what is wrong with its settings is logged.
 pub fn serve(sources: Result<Sources, Faults>, log: &str, form: logging::Form) -> ExitCode {
     let _writing = match logging::start(log, form) {
@@ -102,9 +139,9 @@
     };
     match actix_rt::System::new().block_on(run(sources)) {
         Ok(()) => ExitCode::SUCCESS,
-        Err(faults) => {
+        Err((status, faults)) => {
             faults.0.iter().for_each(|fault| tracing::error!("sedgerun: {fault}"));
-            ExitCode::FAILURE
+            ExitCode::from(status)
         }
     }
 }
@@ -116,13 +153,16 @@
     Ok(Sources { config: config.ok_or_else(missing)?, operator })
 }
 
-async fn run(sources: Result<Sources, Faults>) -> Result<(), Faults> {
-    let plain = |what: String| Faults::one("", what, None);
+async fn run(sources: Result<Sources, Faults>) -> Result<(), (u8, Faults)> {
+    let plain = |what: String| (FAILED, Faults::one("", what, None));
     // Before all else: a signal that nothing catches yet ends the program.
     let signals = Signals::catch().map_err(plain)?;
-    let sources = sources?;
-    let config = sources.read()?;
-    Head::new(config, sources).run(signals).await.map_err(plain)
+    let sources = sources.map_err(|faults| (FAILED, faults))?;
+    let config = sources.read().map_err(|faults| (FAILED, faults))?;
+    let joined = config.operator.fleet.as_ref().map(|fleet| Fleet::start(fleet, &config.name)).transpose();
+    // A store that cannot be trusted is for the operator to look at: another start would not mend it.
+    let fleet = joined.map_err(|what| (FAULTY, Faults::one("fleet.dir", what, None)))?;
+    Head::new(config, sources, fleet).run(signals).await.map_err(plain)
 }
 
 fn check(files: Files, convert: bool) -> Result<String, Faults> {
--- /dev/null
+++ b/crates/head/src/fleet/disk.rs
@@ -0,0 +1,294 @@
+//! What a keeper holds on its disk, in one redb file: its identity, its vote, the log and the last snapshot.
+//!
+//! One thread writes, so that whatever waits while one sync runs shares the next; nobody else waits for a disk.
+//! All records are checksummed ([`record`]), and all are read at the start: a spoilt one ends the start.
+
+use super::types::{Entry, LogId, SnapshotMeta, Types, Vote};
+use openraft::storage::LogFlushed;
+use redb::{Database, Durability, ReadableDatabase, ReadableTable, TableDefinition};
+use sedgerun_fleet::greeting::StoreId;
+use sedgerun_fleet::record::{self, Kind};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::io::{self, Read};
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Instant;
+use tokio::sync::{mpsc, oneshot};
+
+const META: TableDefinition<'_, &str, &[u8]> = TableDefinition::new("meta");
+const LOG: TableDefinition<'_, u64, &[u8]> = TableDefinition::new("log");
+/// Memory that redb may use.
+const CACHE: usize = 1 << 20;
+/// Jobs that wait for the writer; past it whoever brings one waits.
+const MOST_WAITING: usize = 1024;
+/// The most jobs of one sync.
+const MOST_SHARED: usize = 512;
+/// The file's name in its folder.
+const FILE: &str = "fleet.redb";
+
+/// Whose store it is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Identity {
+    /// Made once.
+    pub store: StoreId,
+    /// Counted up at each start.
+    pub life: u64,
+    /// Origin of the fleet whose state it holds.
+    pub origin: Option<u64>,
+}
+
+/// What a store held when it was opened.
+pub struct Held {
+    /// Whose it is, in its new life.
+    pub identity: Identity,
+    /// The last vote.
+    pub vote: Option<Vote>,
+    /// How far entries were known to be settled.
+    pub committed: Option<LogId>,
+    /// The last entry that a snapshot replaced.
+    pub purged: Option<LogId>,
+    /// The log.
+    pub log: BTreeMap<u64, Entry>,
+    /// The last snapshot and its state.
+    pub snapshot: Option<(SnapshotMeta, Vec<u8>)>,
+}
+
+/// A sync's times, read by others.
+#[derive(Debug, Default)]
+pub struct Syncs {
+    /// How many.
+    pub count: AtomicU64,
+    /// The longest, in microseconds.
+    pub longest: AtomicU64,
+    /// All together, in microseconds.
+    pub total: AtomicU64,
+}
+
+type Done = oneshot::Sender<Result<(), String>>;
+
+enum Job {
+    Append(Vec<(u64, Vec<u8>)>, LogFlushed<Types>),
+    Put(&'static str, Vec<u8>, Done),
+    /// Settled up to here: worth keeping, never worth a sync.
+    Committed(Vec<u8>),
+    Truncate(u64, Done),
+    Purge(u64, Vec<u8>, Done),
+    Snapshot(Vec<u8>, Vec<u8>, Done),
+}
+
+/// The writer's other end.
+#[derive(Clone)]
+pub struct Disk {
+    jobs: mpsc::Sender<Job>,
+    /// Times of syncs.
+    pub syncs: Arc<Syncs>,
+}
+
+/// Opens the store in a folder, or makes it, and begins its next life. An error names file and place.
+pub fn open(folder: &Path) -> Result<(Disk, Held), String> {
+    let path = folder.join(FILE);
+    let at = |what: String| format!("{}: {what}", path.display());
+    std::fs::create_dir_all(folder).map_err(|error| format!("{}: {error}", folder.display()))?;
+    let database = Database::builder().set_cache_size(CACHE).create(&path);
+    let database = database.map_err(|error| at(error.to_string()))?;
+    let mut held = read(&database).map_err(at)?;
+    held.identity.life += 1;
+    let identity = record::seal(Kind::Identity, &held.identity).map_err(|error| at(error.to_string()))?;
+    let begin = Job::Put("identity", identity, oneshot::channel().0);
+    write(&database, &[begin]).map_err(|error| at(error.to_string()))?;
+    sync_folder(folder).map_err(|error| at(error.to_string()))?;
+    let (jobs, waiting) = mpsc::channel(MOST_WAITING);
+    let syncs = Arc::new(Syncs::default());
+    let (times, place) = (Arc::clone(&syncs), path.clone());
+    let thread = std::thread::Builder::new().name("fleet-disk".into());
+    let spawned = thread.spawn(move || run(&database, &place, waiting, &times));
+    spawned.map_err(|error| at(format!("no thread: {error}")))?;
+    Ok((Disk { jobs, syncs }, held))
+}
+
+/// Guards against a file whose name was never written down: it would be gone after a loss of power.
+fn sync_folder(folder: &Path) -> io::Result<()> {
+    std::fs::File::open(folder)?.sync_all()
+}
+
+fn read(database: &Database) -> Result<Held, String> {
+    let text = |error: redb::Error| error.to_string();
+    let begin = database.begin_write().map_err(|error| text(error.into()))?;
+    for table in [begin.open_table(META).map(drop), begin.open_table(LOG).map(drop)] {
+        table.map_err(|error| text(error.into()))?;
+    }
+    begin.commit().map_err(|error| text(error.into()))?;
+    let begin = database.begin_read().map_err(|error| text(error.into()))?;
+    let meta = begin.open_table(META).map_err(|error| text(error.into()))?;
+    let bytes = |name: &str| -> Result<Option<Vec<u8>>, String> {
+        let found = meta.get(name).map_err(|error| text(error.into()))?;
+        Ok(found.map(|found| found.value().to_vec()))
+    };
+    fn opened<T: DeserializeOwned>(
+        kind: Kind,
+        name: &str,
+        bytes: Option<Vec<u8>>,
+    ) -> Result<Option<T>, String> {
+        let read = bytes.map(|bytes| record::open(kind, &bytes)).transpose();
+        read.map_err(|spoilt| format!("record {name}: {spoilt}"))
+    }
+    let mut log = BTreeMap::new();
+    let entries = begin.open_table(LOG).map_err(|error| text(error.into()))?;
+    for entry in entries.iter().map_err(|error| text(error.into()))? {
+        let (index, bytes) = entry.map_err(|error| text(error.into()))?;
+        let read = record::open(Kind::Entry, bytes.value());
+        let read = read.map_err(|spoilt| format!("log entry {}: {spoilt}", index.value()))?;
+        log.insert(index.value(), read);
+    }
+    let identity = opened(Kind::Identity, "identity", bytes("identity")?)?;
+    if identity.is_none() && !log.is_empty() {
+        return Err("record identity: missing, though there is a log".into());
+    }
+    let head: Option<SnapshotMeta> = opened(Kind::SnapshotHead, "snapshot", bytes("snapshot")?)?;
+    let snapshot = match head {
+        Some(head) => {
+            let state = opened(Kind::Snapshot, "snapshot state", bytes("state")?)?;
+            Some((head, state.ok_or("record snapshot state: missing")?))
+        }
+        None => None,
+    };
+    Ok(Held {
+        identity: identity.map_or_else(fresh, Ok)?,
+        vote: opened(Kind::Vote, "vote", bytes("vote")?)?,
+        committed: opened(Kind::Position, "committed", bytes("committed")?)?,
+        purged: opened(Kind::Position, "purged", bytes("purged")?)?,
+        log,
+        snapshot,
+    })
+}
+
+fn fresh() -> Result<Identity, String> {
+    Ok(Identity { store: random()?, life: 0, origin: None })
+}
+
+/// A number that nobody else draws.
+pub fn random() -> Result<u64, String> {
+    let mut bytes = [0; 8];
+    let drawn = std::fs::File::open("/dev/urandom").and_then(|mut file| file.read_exact(&mut bytes));
+    drawn.map_err(|error| format!("/dev/urandom: {error}"))?;
+    Ok(u64::from_le_bytes(bytes))
+}
+
+fn run(database: &Database, path: &Path, mut waiting: mpsc::Receiver<Job>, syncs: &Syncs) {
+    while let Some(first) = waiting.blocking_recv() {
+        let mut jobs = vec![first];
+        while jobs.len() < MOST_SHARED {
+            match waiting.try_recv() {
+                Ok(job) => jobs.push(job),
+                Err(_) => break,
+            }
+        }
+        let begun = Instant::now();
+        let written = write(database, &jobs).map_err(|error| format!("{}: {error}", path.display()));
+        let took = begun.elapsed().as_micros() as u64;
+        syncs.count.fetch_add(1, Ordering::Relaxed);
+        syncs.total.fetch_add(took, Ordering::Relaxed);
+        syncs.longest.fetch_max(took, Ordering::Relaxed);
+        if let Err(what) = &written {
+            tracing::error!("fleet: {what}");
+        }
+        for job in jobs {
+            match job {
+                Job::Append(_, flushed) => {
+                    flushed.log_io_completed(written.clone().map_err(io::Error::other));
+                }
+                Job::Put(_, _, done) | Job::Truncate(_, done) => drop(done.send(written.clone())),
+                Job::Purge(_, _, done) | Job::Snapshot(_, _, done) => drop(done.send(written.clone())),
+                Job::Committed(_) => {}
+            }
+        }
+    }
+}
+
+/// Writes jobs in their order and syncs them together.
+fn write(database: &Database, jobs: &[Job]) -> Result<(), redb::Error> {
+    let mut begin = database.begin_write()?;
+    // Guards against a commit that vanishes: with one phase, a store that was killed and of which one page is
+    // spoilt is taken back to the commit before, silently, and what was promised since is gone.
+    begin.set_quick_repair(true);
+    if jobs.iter().all(|job| matches!(job, Job::Committed(_))) {
+        begin.set_durability(Durability::None)?;
+    }
+    {
+        let (mut meta, mut log) = (begin.open_table(META)?, begin.open_table(LOG)?);
+        for job in jobs {
+            match job {
+                Job::Append(entries, _) => {
+                    for (index, entry) in entries {
+                        log.insert(index, entry.as_slice())?;
+                    }
+                }
+                Job::Put(name, bytes, _) => drop(meta.insert(name, bytes.as_slice())?),
+                Job::Committed(bytes) => drop(meta.insert("committed", bytes.as_slice())?),
+                Job::Truncate(from, _) => log.retain_in::<u64, _>(*from.., |_, _| false)?,
+                Job::Purge(upto, position, _) => {
+                    log.retain_in::<u64, _>(..=*upto, |_, _| false)?;
+                    meta.insert("purged", position.as_slice())?;
+                }
+                Job::Snapshot(head, state, _) => {
+                    meta.insert("snapshot", head.as_slice())?;
+                    meta.insert("state", state.as_slice())?;
+                }
+            }
+        }
+    }
+    begin.commit()?;
+    Ok(())
+}
+
+impl Disk {
+    async fn settle(&self, job: impl FnOnce(Done) -> Job) -> Result<(), String> {
+        let (done, settled) = oneshot::channel();
+        let gone = || "the writer of the store has ended".to_owned();
+        self.jobs.send(job(done)).await.map_err(|_| gone())?;
+        settled.await.map_err(|_| gone())?
+    }
+
+    /// Writes a small record and syncs it.
+    pub async fn put<T: Serialize>(&self, kind: Kind, name: &'static str, value: &T) -> Result<(), String> {
+        let bytes = record::seal(kind, value).map_err(|error| error.to_string())?;
+        self.settle(|done| Job::Put(name, bytes, done)).await
+    }
+
+    /// Writes entries; whoever waits on `flushed` hears when they are synced.
+    pub async fn append(&self, entries: &[Entry], flushed: LogFlushed<Types>) -> Result<(), String> {
+        let sealed = entries.iter().map(|entry| Ok((entry.log_id.index, record::seal(Kind::Entry, entry)?)));
+        let sealed: Result<Vec<_>, record::Unwritable> = sealed.collect();
+        let job = Job::Append(sealed.map_err(|error| error.to_string())?, flushed);
+        self.jobs.send(job).await.map_err(|_| "the writer of the store has ended".to_owned())
+    }
+
+    /// Notes how far entries are settled, some time.
+    pub async fn committed(&self, position: LogId) {
+        if let Ok(bytes) = record::seal(Kind::Position, &position) {
+            // Lost, it is only found out anew from the others.
+            let _ = self.jobs.send(Job::Committed(bytes)).await;
+        }
+    }
+
+    /// Removes entries from here on.
+    pub async fn truncate(&self, from: u64) -> Result<(), String> {
+        self.settle(|done| Job::Truncate(from, done)).await
+    }
+
+    /// Removes entries up to here, which a snapshot holds.
+    pub async fn purge(&self, upto: LogId) -> Result<(), String> {
+        let position = record::seal(Kind::Position, &upto).map_err(|error| error.to_string())?;
+        self.settle(|done| Job::Purge(upto.index, position, done)).await
+    }
+
+    /// Puts a snapshot in the place of the last one.
+    pub async fn snapshot(&self, head: &SnapshotMeta, state: &Vec<u8>) -> Result<(), String> {
+        let head = record::seal(Kind::SnapshotHead, head).map_err(|error| error.to_string())?;
+        let state = record::seal(Kind::Snapshot, state).map_err(|error| error.to_string())?;
+        self.settle(|done| Job::Snapshot(head, state, done)).await
+    }
+}
--- /dev/null
+++ b/crates/head/src/fleet/link.rs
@@ -0,0 +1,243 @@
+//! Connections to other heads: frames of a length and a record, a greeting first, then a call and its answer at
+//! a time.
+
+use super::types::{Call, Place, Raft, Reply, Types, address};
+use openraft::error::{InstallSnapshotError, NetworkError, RPCError, RaftError, RemoteError, Unreachable};
+use openraft::network::RPCOption;
+use openraft::raft::{
+    AppendEntriesRequest, AppendEntriesResponse, InstallSnapshotRequest, InstallSnapshotResponse,
+    VoteRequest, VoteResponse,
+};
+use openraft::{RaftNetwork, RaftNetworkFactory};
+use sedgerun_fleet::greeting::{Greeting, Refusal, StoreId, admit};
+use sedgerun_fleet::record::{self, Kind};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::collections::{BTreeMap, HashMap};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// The largest frame.
+pub const MOST_FRAME: usize = 16 << 20;
+/// Time in which a connection must come up and both heads have said who they are.
+pub const GREETING: Duration = Duration::from_millis(500);
+/// Idle connections kept to one head.
+const MOST_IDLE: usize = 8;
+
+/// Writes one frame.
+pub async fn send<T: Serialize>(stream: &mut TcpStream, kind: Kind, value: &T) -> io::Result<()> {
+    let record = record::seal(kind, value).map_err(io::Error::other)?;
+    if record.len() > MOST_FRAME {
+        return Err(io::Error::other(format!("a frame of {} bytes is too long", record.len())));
+    }
+    let mut frame = (record.len() as u32).to_le_bytes().to_vec();
+    frame.extend(record);
+    stream.write_all(&frame).await
+}
+
+/// Reads one frame. A malformed one is an error of the kind `InvalidData`.
+pub async fn receive<T: DeserializeOwned>(stream: &mut TcpStream, kind: Kind) -> io::Result<T> {
+    let spoilt = |what: String| io::Error::new(io::ErrorKind::InvalidData, what);
+    let length = stream.read_u32_le().await? as usize;
+    if length > MOST_FRAME {
+        return Err(spoilt(format!("a frame of {length} bytes")));
+    }
+    let mut record = Vec::new();
+    // Guards against a length that was made up: memory grows with what really comes.
+    (&mut *stream).take(length as u64).read_to_end(&mut record).await?;
+    if record.len() < length {
+        return Err(io::ErrorKind::UnexpectedEof.into());
+    }
+    record::open(kind, &record).map_err(|error| spoilt(error.to_string()))
+}
+
+/// Who this head is, and how it reaches the others.
+#[derive(Clone)]
+pub struct Links(Arc<Inner>);
+
+struct Inner {
+    own: Mutex<Greeting>,
+    routes: BTreeMap<String, SocketAddr>,
+    idle: Mutex<HashMap<SocketAddr, Vec<TcpStream>>>,
+}
+
+impl Links {
+    /// Links of a head that says this of itself, and reaches heads by name at these addresses.
+    pub fn new(own: Greeting, routes: BTreeMap<String, SocketAddr>) -> Links {
+        Links(Arc::new(Inner { own: Mutex::new(own), routes, idle: Mutex::default() }))
+    }
+
+    /// What this head says of itself.
+    pub fn own(&self) -> Greeting {
+        self.0.own.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// From now on this head holds the state of a fleet of this origin.
+    pub fn set_origin(&self, origin: u64) {
+        self.0.own.lock().unwrap_or_else(PoisonError::into_inner).origin = Some(origin);
+    }
+
+    /// Where this head calls a keeper: its own settings come first.
+    pub fn route(&self, place: &Place) -> Option<SocketAddr> {
+        self.0.routes.get(&place.head).copied().or_else(|| address(&place.address))
+    }
+
+    /// A fresh connection, and what the other end says of itself.
+    pub async fn dial(&self, to: SocketAddr) -> io::Result<(TcpStream, Greeting)> {
+        let greet = async {
+            let mut stream = TcpStream::connect(to).await?;
+            stream.set_nodelay(true)?;
+            let own = self.own();
+            send(&mut stream, Kind::Greeting, &own).await?;
+            let theirs: Result<Greeting, Refusal> = receive(&mut stream, Kind::Greeting).await?;
+            let refused =
+                |refusal: Refusal| io::Error::new(io::ErrorKind::PermissionDenied, refusal.to_string());
+            let theirs = theirs.map_err(refused)?;
+            admit(&own, &theirs).map_err(refused)?;
+            Ok((stream, theirs))
+        };
+        tokio::time::timeout(GREETING, greet).await.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
+    }
+
+    /// Calls a head, on an idle connection where there is one.
+    pub async fn call(&self, to: SocketAddr, call: &Call, within: Duration) -> io::Result<Reply> {
+        let exchange = async {
+            let idle = || self.0.idle.lock().unwrap_or_else(PoisonError::into_inner);
+            let kept = idle().get_mut(&to).and_then(Vec::pop);
+            let mut stream = match kept {
+                Some(stream) => stream,
+                None => self.dial(to).await?.0,
+            };
+            send(&mut stream, Kind::Call, call).await?;
+            let reply = receive(&mut stream, Kind::Reply).await?;
+            let mut idle = idle();
+            let kept = idle.entry(to).or_default();
+            if kept.len() < MOST_IDLE {
+                kept.push(stream);
+            }
+            Ok(reply)
+        };
+        tokio::time::timeout(within, exchange).await.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
+    }
+}
+
+/// The way to one keeper, for the consensus library.
+pub struct Way {
+    links: Links,
+    target: StoreId,
+    to: Option<SocketAddr>,
+    stream: Option<TcpStream>,
+}
+
+impl Way {
+    /// One call; its connection is kept only while all goes well.
+    async fn call(&mut self, call: &Call, option: &RPCOption) -> io::Result<Reply> {
+        let to = self.to.ok_or_else(|| io::Error::other("no address"))?;
+        let exchange = async {
+            let mut stream = match self.stream.take() {
+                Some(stream) => stream,
+                None => {
+                    let (stream, greeting) = self.links.dial(to).await?;
+                    // Guards against counting another store in the place of the keeper that lived there.
+                    if greeting.store != Some(self.target) {
+                        return Err(io::Error::other("another store lives there"));
+                    }
+                    stream
+                }
+            };
+            send(&mut stream, Kind::Call, call).await?;
+            let reply = receive(&mut stream, Kind::Reply).await?;
+            self.stream = Some(stream);
+            Ok(reply)
+        };
+        let within = option.hard_ttl();
+        tokio::time::timeout(within, exchange).await.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
+    }
+}
+
+fn unreachable<E: std::error::Error>(error: &io::Error) -> RPCError<StoreId, Place, E> {
+    RPCError::Unreachable(Unreachable::new(error))
+}
+
+/// An answer that says no, or is none to what was asked.
+fn refused<E: std::error::Error>(reply: &Reply) -> RPCError<StoreId, Place, E> {
+    let what = match reply {
+        Reply::Refused(why) => why.clone(),
+        _ => "an answer to something else".to_owned(),
+    };
+    RPCError::Network(NetworkError::new(&io::Error::other(what)))
+}
+
+impl RaftNetwork<Types> for Way {
+    async fn append_entries(
+        &mut self,
+        rpc: AppendEntriesRequest<Types>,
+        option: RPCOption,
+    ) -> Result<AppendEntriesResponse<StoreId>, RPCError<StoreId, Place, RaftError<StoreId>>> {
+        match self.call(&Call::Append(rpc), &option).await {
+            Ok(Reply::Append(answer)) => Ok(answer),
+            Ok(other) => Err(refused(&other)),
+            Err(error) => Err(unreachable(&error)),
+        }
+    }
+
+    async fn install_snapshot(
+        &mut self,
+        rpc: InstallSnapshotRequest<Types>,
+        option: RPCOption,
+    ) -> Result<
+        InstallSnapshotResponse<StoreId>,
+        RPCError<StoreId, Place, RaftError<StoreId, InstallSnapshotError>>,
+    > {
+        match self.call(&Call::Snapshot(rpc), &option).await {
+            Ok(Reply::Snapshot(answer)) => Ok(answer),
+            Ok(Reply::Mismatch(mismatch)) => {
+                let error = RaftError::APIError(InstallSnapshotError::SnapshotMismatch(mismatch));
+                Err(RPCError::RemoteError(RemoteError::new(self.target, error)))
+            }
+            Ok(other) => Err(refused(&other)),
+            Err(error) => Err(unreachable(&error)),
+        }
+    }
+
+    async fn vote(
+        &mut self,
+        rpc: VoteRequest<StoreId>,
+        option: RPCOption,
+    ) -> Result<VoteResponse<StoreId>, RPCError<StoreId, Place, RaftError<StoreId>>> {
+        match self.call(&Call::Vote(rpc), &option).await {
+            Ok(Reply::Vote(answer)) => Ok(answer),
+            Ok(other) => Err(refused(&other)),
+            Err(error) => Err(unreachable(&error)),
+        }
+    }
+}
+
+impl RaftNetworkFactory<Types> for Links {
+    type Network = Way;
+
+    async fn new_client(&mut self, target: StoreId, node: &Place) -> Way {
+        Way { links: self.clone(), target, to: self.route(node), stream: None }
+    }
+}
+
+/// Answers a call of the protocol; `None` where it is none.
+pub async fn protocol(raft: &Raft, call: Call) -> Result<Reply, Call> {
+    let no = |error: &dyn std::error::Error| Reply::Refused(error.to_string());
+    Ok(match call {
+        Call::Append(rpc) => raft.append_entries(rpc).await.map_or_else(|error| no(&error), Reply::Append),
+        Call::Vote(rpc) => raft.vote(rpc).await.map_or_else(|error| no(&error), Reply::Vote),
+        Call::Snapshot(rpc) => match raft.install_snapshot(rpc).await {
+            Ok(answer) => Reply::Snapshot(answer),
+            Err(RaftError::APIError(InstallSnapshotError::SnapshotMismatch(mismatch))) => {
+                Reply::Mismatch(mismatch)
+            }
+            Err(error) => no(&error),
+        },
+        other => return Err(other),
+    })
+}
--- /dev/null
+++ b/crates/head/src/fleet/machine.rs
@@ -0,0 +1,180 @@
+//! The state as the consensus library sees it: it applies settled entries, makes snapshots and takes them over.
+//! The state lies in memory; on disk lie the last snapshot and the log behind it.
+
+use super::disk::Disk;
+use super::log::fault;
+use super::types::{Entry, LogId, Membership, SnapshotMeta, StorageError, Types};
+use openraft::storage::RaftStateMachine;
+use openraft::{EntryPayload, ErrorVerb, OptionalSend, RaftSnapshotBuilder, Snapshot};
+use sedgerun_fleet::record::{self, Kind};
+use sedgerun_fleet::state::{Outcome, State};
+use std::collections::BTreeMap;
+use std::io::Cursor;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::sync::watch;
+
+/// The state, shared by all who read it.
+#[derive(Clone)]
+pub struct Machine {
+    disk: Disk,
+    inner: Arc<Mutex<Inner>>,
+    version: Arc<watch::Sender<u64>>,
+}
+
+struct Inner {
+    state: State,
+    applied: Option<LogId>,
+    membership: Membership,
+    snapshot: Option<(SnapshotMeta, Arc<Vec<u8>>)>,
+}
+
+impl Inner {
+    fn apply(&mut self, entry: Entry) -> Option<Outcome> {
+        self.applied = Some(entry.log_id);
+        match entry.payload {
+            EntryPayload::Normal(change) => Some(self.state.apply(change)),
+            EntryPayload::Membership(membership) => {
+                self.membership = Membership::new(Some(entry.log_id), membership);
+                None
+            }
+            EntryPayload::Blank => None,
+        }
+    }
+}
+
+impl Machine {
+    /// The state of a snapshot, or an empty one, and on top of it the entries that were known to be settled.
+    pub fn new(
+        disk: Disk,
+        snapshot: Option<(SnapshotMeta, Vec<u8>)>,
+        log: &BTreeMap<u64, Entry>,
+        committed: Option<LogId>,
+    ) -> Result<Machine, String> {
+        let mut inner = Inner {
+            state: State::default(),
+            applied: None,
+            membership: Membership::default(),
+            snapshot: None,
+        };
+        if let Some((head, bytes)) = snapshot {
+            inner.state = read(&bytes)?;
+            (inner.applied, inner.membership) = (head.last_log_id, head.last_membership.clone());
+            inner.snapshot = Some((head, Arc::new(bytes)));
+        }
+        // Done here, so that the front has them before it serves.
+        if let Some(committed) = committed {
+            let from = inner.applied.map_or(0, |applied| applied.index + 1);
+            let settled = log.range(from..).take_while(|(index, _)| **index <= committed.index);
+            settled.for_each(|(_, entry)| drop(inner.apply(entry.clone())));
+        }
+        let version = Arc::new(watch::Sender::new(inner.state.version));
+        Ok(Machine { disk, inner: Arc::new(Mutex::new(inner)), version })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Looks at the state; the look must be short.
+    pub fn look<T>(&self, look: impl FnOnce(&State) -> T) -> T {
+        look(&self.lock().state)
+    }
+
+    /// Who keeps, as last applied.
+    pub fn membership(&self) -> Membership {
+        self.lock().membership.clone()
+    }
+
+    /// The version of the state, as it changes.
+    pub fn version(&self) -> watch::Receiver<u64> {
+        self.version.subscribe()
+    }
+
+    fn publish(&self) {
+        let version = self.lock().state.version;
+        self.version.send_if_modified(|known| std::mem::replace(known, version) != version);
+    }
+}
+
+fn read(bytes: &[u8]) -> Result<State, String> {
+    record::open(Kind::Snapshot, bytes).map_err(|spoilt| format!("state of a snapshot: {spoilt}"))
+}
+
+impl RaftSnapshotBuilder<Types> for Machine {
+    async fn build_snapshot(&mut self) -> Result<Snapshot<Types>, StorageError> {
+        let (state, applied, membership) = {
+            let inner = self.lock();
+            (inner.state.clone(), inner.applied, inner.membership.clone())
+        };
+        let bytes = record::seal(Kind::Snapshot, &state);
+        let bytes = bytes.map_err(|error| fault(ErrorVerb::Write, &error.to_string()))?;
+        let at = applied.map_or(0, |applied| applied.index);
+        let term = applied.map_or(0, |applied| applied.leader_id.term);
+        let meta = SnapshotMeta {
+            last_log_id: applied,
+            last_membership: membership,
+            snapshot_id: format!("{term}-{at}"),
+        };
+        let saved = self.disk.snapshot(&meta, &bytes).await;
+        saved.map_err(|what| fault(ErrorVerb::Write, &what))?;
+        self.lock().snapshot = Some((meta.clone(), Arc::new(bytes.clone())));
+        Ok(Snapshot { meta, snapshot: Box::new(Cursor::new(bytes)) })
+    }
+}
+
+impl RaftStateMachine<Types> for Machine {
+    type SnapshotBuilder = Machine;
+
+    async fn applied_state(&mut self) -> Result<(Option<LogId>, Membership), StorageError> {
+        let inner = self.lock();
+        Ok((inner.applied, inner.membership.clone()))
+    }
+
+    async fn apply<I>(&mut self, entries: I) -> Result<Vec<Option<Outcome>>, StorageError>
+    where
+        I: IntoIterator<Item = Entry> + OptionalSend,
+        I::IntoIter: OptionalSend,
+    {
+        let answers = {
+            let mut inner = self.lock();
+            entries.into_iter().map(|entry| inner.apply(entry)).collect()
+        };
+        self.publish();
+        Ok(answers)
+    }
+
+    async fn get_snapshot_builder(&mut self) -> Machine {
+        self.clone()
+    }
+
+    async fn begin_receiving_snapshot(&mut self) -> Result<Box<Cursor<Vec<u8>>>, StorageError> {
+        Ok(Box::new(Cursor::new(Vec::new())))
+    }
+
+    async fn install_snapshot(
+        &mut self,
+        meta: &SnapshotMeta,
+        snapshot: Box<Cursor<Vec<u8>>>,
+    ) -> Result<(), StorageError> {
+        let bytes = snapshot.into_inner();
+        let state = read(&bytes).map_err(|what| fault(ErrorVerb::Read, &what))?;
+        let saved = self.disk.snapshot(meta, &bytes).await;
+        saved.map_err(|what| fault(ErrorVerb::Write, &what))?;
+        {
+            let mut inner = self.lock();
+            (inner.state, inner.applied) = (state, meta.last_log_id);
+            inner.membership = meta.last_membership.clone();
+            inner.snapshot = Some((meta.clone(), Arc::new(bytes)));
+        }
+        self.publish();
+        Ok(())
+    }
+
+    async fn get_current_snapshot(&mut self) -> Result<Option<Snapshot<Types>>, StorageError> {
+        let snapshot = self.lock().snapshot.clone();
+        Ok(snapshot.map(|(meta, bytes)| {
+            let bytes = Box::new(Cursor::new(bytes.as_ref().clone()));
+            Snapshot { meta, snapshot: bytes }
+        }))
+    }
+}
--- /dev/null
+++ b/crates/head/src/fleet/mod.rs
@@ -0,0 +1,231 @@
+//! This head's part in a fleet that keeps state for its heads: sockets, disk and the consensus library round the
+//! decisions of `sedgerun_fleet`. All of it runs on threads of its own, beside the one that serves.
+
+mod api;
+mod disk;
+mod keeper;
+mod link;
+mod log;
+mod machine;
+mod serve;
+pub mod settings;
+pub mod tell;
+mod types;
+
+use crate::config::Config;
+use crate::tenants::{Export, Registry};
+use keeper::Keeper;
+pub use keeper::Unsettled;
+use sedgerun_fleet::state::{Change, Command, Fields, Outcome, Tenant};
+use sedgerun_settings::Pairs;
+use settings::Settings;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::runtime::Handle;
+use tokio::sync::watch;
+
+/// Time that a change may take to reach this head's own front once it is settled.
+const REACH: Duration = Duration::from_millis(500);
+
+/// The serving thread's end of the fleet.
+pub struct Fleet {
+    runtime: Handle,
+    keeper: Arc<Keeper>,
+    /// The version that the front works with.
+    in_force: watch::Sender<u64>,
+}
+
+impl Fleet {
+    /// Opens the store and joins the fleet on a thread of its own. An error names what is wrong with the store,
+    /// or with the address.
+    pub fn start(settings: &Settings, head: &str) -> Result<Fleet, String> {
+        let (disk, held) = disk::open(&settings.dir)?;
+        let (store, life) = (held.identity.store, held.identity.life);
+        let bound = std::net::TcpListener::bind(settings.listen)
+            .and_then(|listener| listener.set_nonblocking(true).map(|()| listener))
+            .map_err(|error| format!("fleet.listen: cannot bind {}: {error}", settings.listen))?;
+        if let Ok(at) = bound.local_addr() {
+            tracing::info!("fleet.listen: {at}");
+        }
+        let (started, starting) = std::sync::mpsc::channel();
+        let (settings, name) = (settings.clone(), head.to_owned());
+        let run = move || {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+            let runtime = match runtime {
+                Ok(runtime) => runtime,
+                Err(error) => return drop(started.send(Err(format!("fleet: no runtime: {error}")))),
+            };
+            runtime.block_on(async {
+                let listener = tokio::net::TcpListener::from_std(bound).map_err(|error| error.to_string());
+                let keeper = match listener {
+                    Ok(listener) => Keeper::start(settings, &name, disk, held)
+                        .await
+                        .map(|keeper| (Arc::new(keeper), listener)),
+                    Err(what) => Err(what),
+                };
+                match keeper {
+                    Ok((keeper, listener)) => {
+                        let _ = started.send(Ok((Handle::current(), Arc::clone(&keeper))));
+                        tokio::spawn(watch_role(Arc::clone(&keeper)));
+                        serve::serve(keeper, listener).await;
+                    }
+                    Err(what) => drop(started.send(Err(what))),
+                }
+            });
+        };
+        let thread = std::thread::Builder::new().name("fleet".into()).spawn(run);
+        thread.map_err(|error| format!("fleet: no thread: {error}"))?;
+        let (runtime, keeper) = starting.recv().map_err(|_| "fleet: ended at its start".to_owned())??;
+        tracing::info!("fleet: {head} holds store {store:016x} in its life {life}");
+        Ok(Fleet { runtime, keeper, in_force: watch::Sender::new(0) })
+    }
+
+    /// Makes a change: settled once it is synced at a majority of the keepers. On return this head's own front
+    /// works with it.
+    pub async fn change(&self, change: Change) -> Result<Outcome, Unsettled> {
+        let keeper = Arc::clone(&self.keeper);
+        let settled = self.on_fleet(async move { keeper.change(change).await }).await?;
+        if let Outcome::Done { version, .. } = settled {
+            // Late or not, it is settled: what the caller hears stays true.
+            let _ = self.reach(version).await;
+        }
+        Ok(settled)
+    }
+
+    /// Waits until the front works with all that was settled when it was asked; the version.
+    pub async fn latest(&self) -> Result<u64, Unsettled> {
+        let keeper = Arc::clone(&self.keeper);
+        let version = self.on_fleet(async move { keeper.latest().await }).await?;
+        self.reach(version).await
+    }
+
+    /// Waits until the front works with a version.
+    pub async fn at_least(&self, version: u64) -> Result<u64, Unsettled> {
+        let keeper = Arc::clone(&self.keeper);
+        self.on_fleet(async move { keeper.at_least(version, REACH).await }).await?;
+        self.reach(version).await
+    }
+
+    /// The version that the front works with.
+    pub fn version(&self) -> u64 {
+        *self.in_force.borrow()
+    }
+
+    /// The version at which a tenant was last changed; 0 for none there.
+    pub fn tenant_version(&self, tenant: &str) -> u64 {
+        self.keeper.machine.look(|state| state.tenants.get(tenant).map_or(0, |tenant| tenant.version))
+    }
+
+    async fn on_fleet<T: Send + 'static>(
+        &self,
+        work: impl Future<Output = Result<T, Unsettled>> + Send + 'static,
+    ) -> Result<T, Unsettled> {
+        let done = self.runtime.spawn(work).await;
+        done.unwrap_or_else(|_| Err(Unsettled("the fleet's thread has ended".into())))
+    }
+
+    async fn reach(&self, version: u64) -> Result<u64, Unsettled> {
+        let mut in_force = self.in_force.subscribe();
+        let reached = tokio::time::timeout(REACH, in_force.wait_for(|held| *held >= version)).await;
+        match reached {
+            Ok(Ok(held)) => Ok(*held),
+            _ => Err(Unsettled(format!("this head works with version {}, not {version}", self.version()))),
+        }
+    }
+
+    /// Brings what the fleet holds to this head's front for as long as it is polled. It begins with what the
+    /// store held at the start, whether or not a majority is there.
+    pub async fn follow(self: Rc<Self>, config: Rc<Config>, tenants: Rc<RefCell<Registry>>) {
+        let mut versions = self.keeper.machine.version();
+        let mut held: BTreeMap<String, u64> = BTreeMap::new();
+        loop {
+            versions.borrow_and_update();
+            let (version, changed, gone) = self.keeper.machine.look(|state| {
+                let differs =
+                    |name: &&String| held.get(*name) != state.tenants.get(*name).map(|t| &t.version);
+                let changed = state.tenants.keys().filter(differs);
+                let changed: Vec<(String, Tenant)> =
+                    changed.map(|name| (name.clone(), state.tenants[name].clone())).collect();
+                let gone = held.keys().filter(|name| !state.tenants.contains_key(*name));
+                (state.version, changed, gone.cloned().collect::<Vec<String>>())
+            });
+            {
+                let mut registry = tenants.borrow_mut();
+                for name in gone.iter().chain(changed.iter().map(|(name, _)| name)) {
+                    registry.remove_tenant(name);
+                    held.remove(name);
+                }
+                for (name, tenant) in changed {
+                    put(&mut registry, &config, &name, &tenant);
+                    held.insert(name, tenant.version);
+                }
+            }
+            self.in_force.send_replace(version);
+            if versions.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+/// Puts a tenant in place as far as this head's settings know what its exports name.
+fn put(registry: &mut Registry, config: &Config, name: &str, tenant: &Tenant) {
+    registry.open(name);
+    for (export, fields) in &tenant.exports {
+        let read = read_export(config, name, export, fields);
+        let added = read.and_then(|read| registry.add(name, read));
+        if let Err(what) = added {
+            tracing::warn!("fleet: tenant {name}, export {export}: {what}; not served by this head");
+        }
+    }
+}
+
+/// Reads an export in the operator's file's own terms against this head's settings.
+pub fn read_export(config: &Config, tenant: &str, export: &str, fields: &Fields) -> Result<Export, String> {
+    let mut pairs = fields.clone();
+    pairs.insert("tenant".into(), tenant.to_owned());
+    pairs.insert("name".into(), export.to_owned());
+    let pairs = Pairs::from_map(&pairs);
+    let (_, export) = Export::read(&pairs, "", config.catalogue());
+    pairs.finish(export).map_err(|faults| faults.to_string())
+}
+
+/// Says each change of this head's part in one line.
+async fn watch_role(keeper: Arc<Keeper>) {
+    let mut metrics = keeper.raft.metrics();
+    let mut said = (String::new(), 0, None);
+    loop {
+        let status = keeper.status().await;
+        let now = (status.role, status.term, status.leader);
+        if now != said {
+            let leader = now.2.as_deref().unwrap_or("nobody");
+            tracing::info!(term = now.1, leader, version = status.version, "fleet: now {}", now.0);
+            said = now;
+        }
+        if let Some(what) = status.trouble {
+            tracing::error!("fleet: keeps and promises nothing any more: {what}");
+            return;
+        }
+        if metrics.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+/// What the fleet is asked for, with the key under which it happens once.
+pub fn change(key: Option<&str>, expect: Option<u64>, command: Command) -> Result<Change, String> {
+    let key = match key {
+        Some(key) => format!("caller {key}"),
+        None => format!("{:016x}{:016x}", disk::random()?, disk::random()?),
+    };
+    Ok(Change { key, expect, command })
+}
+
+/// Where the command line finds this head: its own address as others know it, or where it listens.
+pub fn own_address(settings: &Settings, head: &str) -> SocketAddr {
+    settings.keepers.get(head).copied().unwrap_or(settings.listen)
+}
--- /dev/null
+++ b/crates/head/src/fleet/settings.rs
@@ -0,0 +1,77 @@
+//! The `(fleet ...)` form of the operator's file: without it there is nothing of the fleet in this process.
+
+use sedgerun_settings::Pairs;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// What the fleet is set up with.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// The fleet's name.
+    pub name: String,
+    /// What its heads know and nobody else.
+    pub secret: String,
+    /// Where other heads call.
+    pub listen: SocketAddr,
+    /// Where the store lies.
+    pub dir: PathBuf,
+    /// The keepers by name, each with the address at which this head calls it.
+    pub keepers: BTreeMap<String, SocketAddr>,
+}
+
+impl Settings {
+    /// The keys of the form.
+    pub const KEYS: [&str; 5] = ["fleet.name", "fleet.secret", "fleet.listen", "fleet.dir", "fleet.keepers"];
+
+    /// Reads the form, where it is there; faults stay with the pairs.
+    pub fn read(pairs: &Pairs) -> Option<Settings> {
+        if !pairs.keys().any(|key| key.starts_with("fleet.")) {
+            return None;
+        }
+        let malformed = |key: &str, text: &str| {
+            if !text.is_empty() {
+                pairs.fault(key, format!("setting {key} is malformed: {text}"));
+            }
+        };
+        let listen = pairs.required("fleet.listen");
+        let listen = listen.parse().unwrap_or_else(|_| {
+            malformed("fleet.listen", listen);
+            SocketAddr::from(([127, 0, 0, 1], 0))
+        });
+        let secret = pairs.required("fleet.secret");
+        if !secret.is_empty() && secret.len() < 16 {
+            pairs.fault("fleet.secret", "setting fleet.secret is shorter than 16 characters");
+        }
+        let mut keepers = BTreeMap::new();
+        let named = pairs.required("fleet.keepers");
+        for keeper in named.split(',').filter(|keeper| !keeper.is_empty()) {
+            match keeper.trim().split_once('=').map(|(name, at)| (name, at.parse())) {
+                Some((name, Ok(at))) if !name.is_empty() => {
+                    if keepers.insert(name.to_owned(), at).is_some() {
+                        pairs.fault("fleet.keepers", format!("setting fleet.keepers names {name} twice"));
+                    }
+                }
+                _ => malformed("fleet.keepers", keeper),
+            }
+        }
+        if !named.is_empty() && keepers.len().is_multiple_of(2) {
+            let what = format!("setting fleet.keepers names {}: an odd number keeps", keepers.len());
+            pairs.fault("fleet.keepers", what);
+        }
+        // Two sources of tenants would contradict each other.
+        if pairs.text("exports.count").is_some_and(|count| count != "0") {
+            pairs.fault(
+                "fleet.name",
+                "tenants stand beside (fleet ...): the fleet holds them; put them by the API",
+            );
+        }
+        Some(Settings {
+            name: pairs.required("fleet.name").to_owned(),
+            secret: secret.to_owned(),
+            listen,
+            dir: PathBuf::from(pairs.required("fleet.dir")),
+            keepers,
+        })
+    }
+}
--- a/crates/head/src/head.rs
+++ b/crates/head/src/head.rs
@@ -8,6 +8,7 @@
 use crate::clock::Clock;
 use crate::config::{Config, Sources};
 use crate::discovery::Discovery;
+use crate::fleet::Fleet;
 use crate::front::http::{HttpFront, bind};
 use crate::front::ninep::NinepFront;
 use crate::hub::Hub;
@@ -115,6 +116,8 @@
     vrrp: Option<Rc<Carrier>>,
     accepting: Vec<AbortHandle>,
     mgmt: Rc<Mgmt>,
+    /// The fleet that it is of, where there is one.
+    fleet: Option<Rc<Fleet>>,
     /// The clients' listener came from the platform, which another process of this head shares.
     inherited: bool,
 }
@@ -166,7 +169,7 @@
 
 impl Head {
     /// A head that has not begun to serve.
-    pub fn new(config: Config, sources: Sources) -> Head {
+    pub fn new(config: Config, sources: Sources, fleet: Option<Fleet>) -> Head {
         let config = Rc::new(config);
         let clock = Clock::start();
         let (dial, idle) = (Duration::from_micros(config.dial), Duration::from_micros(config.idle));
@@ -182,8 +185,8 @@
         let ninep = NinepFront::new(Rc::clone(&hub), Rc::clone(&config), Rc::clone(&tenants));
         let (phase, vrrp, accepting) = (Phase::Starting, None, Vec::new());
         let mgmt = Mgmt::new(Rc::clone(&hub), Rc::clone(&front), Rc::clone(&config));
-        let inherited = false;
-        Head { phase, config, sources, hub, front, ninep, tenants, vrrp, accepting, mgmt, inherited }
+        let (inherited, fleet) = (false, fleet.map(Rc::new));
+        Head { phase, config, sources, hub, front, ninep, tenants, vrrp, accepting, mgmt, fleet, inherited }
     }
 
     /// Runs from start to exit.
@@ -220,6 +223,10 @@
             actix_rt::spawn(Rc::clone(&self.mgmt).serve(listener));
         }
         actix_rt::spawn(Rc::clone(&self.hub).run_timers());
+        if let Some(fleet) = &self.fleet {
+            let (config, tenants) = (Rc::clone(&self.config), Rc::clone(&self.tenants));
+            actix_rt::spawn(Rc::clone(fleet).follow(config, tenants));
+        }
         let mut discovery = Discovery::new(Rc::clone(&self.hub), Rc::clone(&self.config));
         discovery.take_known();
         actix_rt::spawn(discovery.run(at));
@@ -248,6 +255,7 @@
                 tenants: Rc::clone(&self.tenants),
                 ninep: Rc::clone(&self.ninep),
                 vrrp: self.vrrp.clone(),
+                fleet: self.fleet.clone(),
             });
             actix_rt::spawn(async move {
                 if let Err(error) = api.serve(listener).await {
--- a/crates/head/src/lib.rs
+++ b/crates/head/src/lib.rs
@@ -6,11 +6,13 @@
 
 pub mod admin;
 pub mod back;
+pub mod bounds;
 pub mod clock;
 pub mod command;
 pub mod config;
 pub mod discovery;
 pub mod figures;
+pub mod fleet;
 pub mod front;
 pub mod head;
 pub mod hub;
--- a/crates/head/src/logging.rs
+++ b/crates/head/src/logging.rs
@@ -8,7 +8,7 @@
 use tracing::callsite::Identifier;
 use tracing::{Event, Subscriber};
 use tracing_appender::non_blocking::{NonBlocking, NonBlockingBuilder, WorkerGuard};
-use tracing_subscriber::filter::Targets;
+use tracing_subscriber::filter::{LevelFilter, Targets};
 use tracing_subscriber::layer::{Context, Layer, SubscriberExt};
 use tracing_subscriber::util::SubscriberInitExt;
 
@@ -32,6 +32,9 @@
 /// commas. What is held back is written when the guard is dropped.
 pub fn start(level: &str, form: Form) -> Result<WorkerGuard, String> {
     let targets: Targets = level.parse().map_err(|error| format!("SEDGERUN_LOG: {level}: {error}"))?;
+    // The consensus library speaks of each step; what matters of it the head says itself.
+    let quiet = targets.default_level().map_or(LevelFilter::WARN, |level| level.min(LevelFilter::WARN));
+    let targets = if level.contains("openraft") { targets } else { targets.with_target("openraft", quiet) };
     let (writer, guard) = NonBlockingBuilder::default()
         .lossy(true)
         .buffered_lines_limit(MOST_WAITING)
--- a/crates/head/src/operator.rs
+++ b/crates/head/src/operator.rs
@@ -1,6 +1,7 @@
 //! What the operator's file sets up beyond the platform's HTTP, in either of its forms.
 
-use crate::config::Bounds;
+use crate::bounds::Bounds;
+use crate::fleet::settings::Settings as Fleet;
 use crate::tenants::{Catalogue, Export, Registry};
 use sedgerun_settings::{Faults, Pairs, operator};
 use sedgerun_vrrp::{Router, packet};
@@ -21,6 +22,8 @@
     pub admin: Option<Admin>,
     /// The virtual router.
     pub vrrp: Option<Vrrp>,
+    /// The fleet that this head is of.
+    pub fleet: Option<Fleet>,
 }
 
 /// What the administration API is set up with.
@@ -90,6 +93,7 @@
             boxes: boxes.collect(),
             admin: admin(&pairs),
             vrrp: vrrp(&pairs),
+            fleet: Fleet::read(&pairs),
         };
         pairs.finish(read)
     }
@@ -124,6 +128,7 @@
         let known = match list {
             Some("exports") if numbered => Export::KEYS.contains(&name),
             Some("boxes") if numbered => BOX.contains(&name),
+            Some("fleet") => Fleet::KEYS.contains(&key),
             _ => PLAIN.contains(&key),
         };
         if !known {
--- /dev/null
+++ b/crates/head/tests/fleet.rs
@@ -0,0 +1,266 @@
+//! Heads that keep state for each other, as real processes with faults between them.
+
+mod rig;
+
+use rig::{Rig, Said, call, export};
+use sedgerun_rehearse::troublemaker::{Trouble, Way};
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+const CUT: Trouble = Trouble { cut: true, there: Way::Pass, back: Way::Pass };
+const CALM: Trouble = Trouble { cut: false, there: Way::Pass, back: Way::Pass };
+
+fn put(at: SocketAddr, tenant: &str, name: &str, key: &str) -> Option<Said> {
+    let headers = format!("Idempotency-Key: {key}\r\n");
+    call(at, &format!("PUT /v1/tenants/{tenant}/exports/{name}"), &headers, &export("b1"))
+}
+
+/// Makes a change at one head after the other until it is settled.
+fn settle(heads: &[SocketAddr], tenant: &str, name: &str) -> Said {
+    let begun = Instant::now();
+    loop {
+        for at in heads {
+            if let Some(said) = put(*at, tenant, name, name).filter(|said| said.status < 300) {
+                return said;
+            }
+        }
+        if begun.elapsed() > Duration::from_secs(20) {
+            let last: Vec<_> = heads.iter().map(|at| put(*at, tenant, name, name)).collect();
+            panic!("{tenant}/{name} is never settled: {last:?}");
+        }
+    }
+}
+
+/// The exports of a tenant, as settled by now.
+fn exports(at: SocketAddr, tenant: &str) -> Vec<String> {
+    let begun = Instant::now();
+    loop {
+        let said = call(at, &format!("GET /v1/tenants/{tenant}"), "Fleet-Read: latest\r\n", "");
+        if let Some(said) = said.filter(|said| said.status == 200) {
+            let listed = said.body["exports"].as_array().cloned().unwrap_or_default();
+            return listed.iter().filter_map(|export| Some(export["name"].as_str()?.to_owned())).collect();
+        }
+        assert!(begun.elapsed() < Duration::from_secs(20), "no settled read of {tenant}");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+#[test]
+fn a_leader_lost_with_its_disk_under_load_takes_nothing_along() {
+    let mut rig = Rig::begun(3);
+    let leader = rig.leader(&[0, 1, 2]);
+    let apis: Vec<SocketAddr> = (0..3).map(|head| rig.api(head)).collect();
+    let (settled, over) = (Mutex::new(Vec::new()), AtomicBool::new(false));
+    thread::scope(|scope| {
+        for client in 0..4 {
+            let (apis, settled, over) = (&apis, &settled, &over);
+            scope.spawn(move || {
+                for i in 0.. {
+                    if over.load(Ordering::SeqCst) {
+                        return;
+                    }
+                    let name = format!("c{client}-{i}");
+                    let from = (client + i) % 3;
+                    let turn = [apis[from], apis[(from + 1) % 3], apis[(from + 2) % 3]];
+                    settle(&turn, &format!("t{client}"), &name);
+                    settled.lock().expect("settled").push((client, name));
+                }
+            });
+        }
+        let count = || settled.lock().expect("settled").len();
+        while count() < 60 {
+            thread::sleep(Duration::from_millis(5));
+        }
+        rig.lose(leader);
+        let before = count();
+        while count() < before + 60 {
+            thread::sleep(Duration::from_millis(5));
+        }
+        over.store(true, Ordering::SeqCst);
+    });
+    let settled = settled.into_inner().expect("settled");
+    for head in (0..3).filter(|head| *head != leader) {
+        for client in 0..4 {
+            let held = exports(apis[head], &format!("t{client}"));
+            for (_, name) in settled.iter().filter(|(by, _)| *by == client) {
+                assert!(held.contains(name), "{name} was settled, and head {head} does not hold it");
+            }
+        }
+    }
+    // The machine comes back with an empty disk under its old name: it is new, and does not vote as the old one.
+    rig.up(leader);
+    let status = rig.status((leader + 1) % 3);
+    assert_eq!(status["heads"][leader]["role"], "new", "{status}");
+    assert_eq!(status["heads"][leader]["version"], 0);
+    let refused = put(rig.api(leader), "t0", "late", "late").expect("an answer");
+    assert_eq!(refused.status, 503, "{refused:?}");
+}
+
+#[test]
+fn an_old_leader_that_was_cut_off_stood_still_or_heard_nothing_promises_nothing() {
+    let rig = Rig::begun(3);
+    let apis: Vec<SocketAddr> = (0..3).map(|head| rig.api(head)).collect();
+    settle(&apis, "horvat", "press");
+    let lost = Trouble { back: Way::Lose, ..CALM };
+    let kinds =
+        [("cut", CUT, CUT), ("deaf", lost, Trouble { there: Way::Lose, ..CALM }), ("still", CALM, CALM)];
+    for (kind, from, to) in kinds {
+        let leader = rig.leader(&[0, 1, 2]);
+        let others: Vec<usize> = (0..3).filter(|head| *head != leader).collect();
+        rig.trouble(leader, from, to);
+        if kind == "still" {
+            rig.program(leader).stand_still(true);
+        } else {
+            let begun = Instant::now();
+            let said = put(apis[leader], "horvat", &format!("{kind}-alone"), &format!("{kind}-alone"))
+                .expect("an answer");
+            assert_eq!(said.status, 503, "{kind}: {said:?}");
+            assert!(
+                begun.elapsed() < Duration::from_millis(1500),
+                "{kind}: refused after {:?}",
+                begun.elapsed()
+            );
+        }
+        let reached: Vec<SocketAddr> = others.iter().map(|head| apis[*head]).collect();
+        settle(&reached, "horvat", kind);
+        if kind == "still" {
+            rig.program(leader).stand_still(false);
+        }
+        // What the old leader says after its return, it says at a version that holds the change.
+        rig.trouble(leader, CALM, CALM);
+        assert!(exports(apis[leader], "horvat").contains(&kind.to_owned()), "{kind}");
+        rig.leader(&[0, 1, 2]);
+    }
+}
+
+#[test]
+fn without_a_majority_reads_go_on_and_changes_are_refused_within_a_second() {
+    let mut rig = Rig::begun(3);
+    let apis: Vec<SocketAddr> = (0..3).map(|head| rig.api(head)).collect();
+    let version = settle(&apis, "horvat", "press").version.expect("a version");
+    // Read at any head what was written at another.
+    for at in &apis {
+        let said = call(*at, "GET /v1/tenants/horvat", &format!("Fleet-At-Least: {version}\r\n"), "");
+        let said = said.expect("an answer");
+        assert_eq!((said.status, &said.body["exports"][0]["name"]), (200, &"press".into()));
+    }
+    rig.kill(1);
+    rig.kill(2);
+    let begun = Instant::now();
+    let said = put(apis[0], "horvat", "proofs", "proofs").expect("an answer");
+    assert_eq!(said.status, 503, "{said:?}");
+    assert!(begun.elapsed() < Duration::from_millis(1300), "{:?}", begun.elapsed());
+    // Started again without a majority, it serves from its disk and says at which version.
+    rig.kill(0);
+    rig.up(0);
+    let said = call(rig.api(0), "GET /v1/tenants/horvat", "", "").expect("an answer");
+    assert_eq!((said.status, said.version), (200, Some(version)), "{said:?}");
+    assert_eq!(
+        call(rig.api(0), "GET /v1/tenants/horvat", "Fleet-Read: latest\r\n", "").expect("an answer").status,
+        503
+    );
+    // With one more there is a majority; what was refused did not happen, or happens once.
+    rig.up(1);
+    let apis = [rig.api(0), rig.api(1)];
+    settle(&apis, "horvat", "proofs");
+    assert_eq!(exports(apis[1], "horvat"), ["press", "proofs"]);
+}
+
+#[test]
+fn a_change_repeated_at_another_head_happens_once() {
+    let rig = Rig::begun(3);
+    let apis: Vec<SocketAddr> = (0..3).map(|head| rig.api(head)).collect();
+    let first = put(apis[0], "horvat", "press", "k1").expect("an answer");
+    assert_eq!(first.status, 201, "{first:?}");
+    assert_eq!(call(apis[1], "DELETE /v1/tenants/horvat", "", "").expect("an answer").status, 204);
+    let again = put(apis[2], "horvat", "press", "k1").expect("an answer");
+    assert_eq!((again.status, again.version), (201, first.version), "{again:?}");
+    assert_eq!(
+        call(apis[2], "GET /v1/tenants/horvat", "Fleet-Read: latest\r\n", "").expect("an answer").status,
+        404
+    );
+    let other = call(apis[2], "PUT /v1/tenants/novak/exports/maps", "Idempotency-Key: k1\r\n", &export("b2"));
+    assert_eq!(other.expect("an answer").status, 422);
+    // Compare-and-set by the tenant's version.
+    let made = call(apis[0], "PUT /v1/tenants/novak", "If-None-Match: *\r\n", r#"{"exports":[]}"#)
+        .expect("an answer");
+    let version = made.version.expect("a version");
+    let stale = format!("If-Match: \"{}\"\r\n", version + 1);
+    assert_eq!(call(apis[1], "DELETE /v1/tenants/novak", &stale, "").expect("an answer").status, 412);
+    let right = format!("If-Match: \"{version}\"\r\n");
+    assert_eq!(call(apis[1], "DELETE /v1/tenants/novak", &right, "").expect("an answer").status, 204);
+    assert_eq!(call(apis[1], "DELETE /v1/tenants/novak", "", "").expect("an answer").status, 404);
+}
+
+#[test]
+fn garbled_frames_end_connections_and_change_nothing() {
+    let rig = Rig::begun(3);
+    let apis: Vec<SocketAddr> = (0..3).map(|head| rig.api(head)).collect();
+    let leader = rig.leader(&[0, 1, 2]);
+    let other = (leader + 1) % 3;
+    rig.links[leader][other].suffer(Trouble { there: Way::Garble, ..CALM });
+    for i in 0..20 {
+        settle(&apis, "horvat", &format!("e{i}"));
+    }
+    let begun = Instant::now();
+    while rig.links[leader][other].struck() < 5 {
+        assert!(begun.elapsed() < Duration::from_secs(10), "nothing was garbled");
+        thread::sleep(Duration::from_millis(20));
+    }
+    rig.links[leader][other].suffer(CALM);
+    assert_eq!(exports(apis[other], "horvat").len(), 20);
+    let status = rig.status(leader);
+    assert!(status["heads"][other]["refused"].as_u64() > Some(0), "{status}");
+}
+
+#[test]
+fn a_spoilt_store_ends_the_start_with_status_2_and_its_place() {
+    let mut rig = Rig::begun(3);
+    let apis: Vec<SocketAddr> = (0..3).map(|head| rig.api(head)).collect();
+    settle(&apis, "a-name-to-be-found", "press");
+    rig.kill(1);
+    let file = rig.dirs[1].join("fleet.redb");
+    let mut bytes = std::fs::read(&file).expect("a store");
+    let name = b"a-name-to-be-found";
+    let at: Vec<usize> = (0..bytes.len() - name.len()).filter(|at| bytes[*at..].starts_with(name)).collect();
+    assert!(!at.is_empty());
+    at.iter().for_each(|at| bytes[*at] ^= 1);
+    std::fs::write(&file, &bytes).expect("a store");
+    let (config, operator) = rig.files(1);
+    let child = rig::standin::Program::launch(&config.to_string(), Some(&operator));
+    let ended = child.wait_with_output().expect("an end");
+    let said = String::from_utf8_lossy(&ended.stderr);
+    assert_eq!(ended.status.code(), Some(2), "{said}");
+    assert!(said.contains("fleet.redb"), "{said}");
+    // The others go on, and a missing store is a new one.
+    rig.lose(1);
+    rig.up(1);
+    settle(&[apis[0], apis[2]], "horvat", "proofs");
+}
+
+#[test]
+fn without_the_form_there_is_nothing_of_it_and_a_faulty_one_is_said() {
+    let rig = Rig::start(1);
+    let (config, operator) = rig.files(0);
+    let plain = operator.split("(fleet").next().expect("forms");
+    let program = rig::standin::Program::start(&config, Some(plain));
+    assert_eq!(program.fleet, None);
+    assert!(!program.threads().iter().any(|name| name.starts_with("fleet")), "{:?}", program.threads());
+    assert!(rig.program(0).threads().iter().any(|name| name.starts_with("fleet")));
+    let even = operator.replace("(keepers", "(keepers \"n9=127.0.0.1:1\"");
+    let faults = [
+        (operator.replace("known to the rig alone", "short"), "fleet.secret is shorter than 16"),
+        (even, "fleet.keepers names 2: an odd number keeps"),
+        (operator.replace("(dir ", "(drawer "), "fleet.drawer is unknown"),
+        (operator.replace("n0=", "n0"), "fleet.keepers is malformed"),
+    ];
+    for (operator, fault) in faults {
+        let child = rig::standin::Program::launch(&config.to_string(), Some(&operator));
+        let ended = child.wait_with_output().expect("an end");
+        let said = String::from_utf8_lossy(&ended.stderr);
+        assert!(!ended.status.success() && said.contains(fault), "{fault}: {said}");
+    }
+}
--- a/crates/head/tests/standin/mod.rs
+++ b/crates/head/tests/standin/mod.rs
@@ -451,6 +451,7 @@
     pub ninep: Option<SocketAddr>,
     pub admin: Option<SocketAddr>,
     pub mgmt: Option<SocketAddr>,
+    pub fleet: Option<SocketAddr>,
     config: PathBuf,
     log: BufReader<std::process::ChildStderr>,
 }
@@ -527,18 +528,20 @@
     pub fn start_with(config: &Value, operator: Option<&str>, environment: &[(&str, &str)]) -> Program {
         let (mut child, config) = Program::launch_with(&config.to_string(), operator, environment);
         let mut log = BufReader::new(child.stderr.take().expect("a log"));
-        let (mut http, mut ninep, mut admin, mut mgmt) = (None, None, None, None);
-        let mut line = String::new();
+        let (mut http, mut ninep, mut admin, mut mgmt, mut fleet) = (None, None, None, None, None);
+        let (mut line, mut before) = (String::new(), String::new());
         while !line.contains("Starting -> Serving") {
             line.clear();
-            assert!(log.read_line(&mut line).expect("a log") > 0, "the program ended");
+            assert!(log.read_line(&mut line).expect("a log") > 0, "the program ended: {before}");
+            before.push_str(&line);
             let address = |key: &str| line.split_once(key).and_then(|(_, text)| text.trim().parse().ok());
             http = http.or(address(" listen: "));
             ninep = ninep.or(address(" ninep.listen: "));
             admin = admin.or(address(" admin.listen: "));
             mgmt = mgmt.or(address(" mgmt: "));
+            fleet = fleet.or(address(" fleet.listen: "));
         }
-        Program { child, http: http.expect("a listener"), ninep, admin, mgmt, config, log }
+        Program { child, http: http.expect("a listener"), ninep, admin, mgmt, fleet, config, log }
     }
 
     /// Sends a request over HTTP on a connection of its own, and reads the answer.
@@ -568,6 +571,23 @@
         self.signal("-TERM");
     }
 
+    /// Stands it still, or lets it go on.
+    pub fn stand_still(&self, still: bool) {
+        self.signal(if still { "-STOP" } else { "-CONT" });
+    }
+
+    /// Names of its threads.
+    pub fn threads(&self) -> Vec<String> {
+        let tasks = std::fs::read_dir(format!("/proc/{}/task", self.child.id())).expect("its threads");
+        let name = |task: std::fs::DirEntry| std::fs::read_to_string(task.path().join("comm")).ok();
+        tasks.flatten().filter_map(name).map(|name| name.trim().to_owned()).collect()
+    }
+
+    /// The files that it was started with: the platform's and the operator's.
+    pub fn files(&self) -> (PathBuf, PathBuf) {
+        (self.config.clone(), self.config.with_file_name("operator.conf"))
+    }
+
     /// Descriptors that it holds.
     pub fn descriptors(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("its descriptors").count()
--- a/crates/rehearse/src/lib.rs
+++ b/crates/rehearse/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod scenario;
 pub mod script;
 pub mod sockets;
+pub mod troublemaker;
 pub mod world;
--- /dev/null
+++ b/crates/rehearse/src/troublemaker.rs
@@ -0,0 +1,150 @@
+//! A troublemaker between sockets: one proxy for one directed link, steered while traffic flows. It stands on a
+//! loopback port of its own, so that the party behind it may come and go with other ports.
+
+use std::io::{self, Read, Write};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::Duration;
+
+/// What becomes of the bytes of one direction.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Way {
+    /// They pass.
+    #[default]
+    Pass,
+    /// They pass so much later.
+    Late(Duration),
+    /// They pass one at a time, so much apart.
+    Slow(Duration),
+    /// They are held until the trouble is over.
+    Stall,
+    /// They vanish.
+    Lose,
+    /// One bit of each piece is turned.
+    Garble,
+}
+
+/// What a link suffers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Trouble {
+    /// Connections are reset and new ones refused.
+    pub cut: bool,
+    /// From the one that dials to the one that is dialed.
+    pub there: Way,
+    /// Back.
+    pub back: Way,
+}
+
+/// A link under one's thumb.
+#[derive(Clone)]
+pub struct Link {
+    /// Where it is dialed.
+    pub address: SocketAddr,
+    inner: Arc<(Mutex<State>, Condvar)>,
+}
+
+#[derive(Default)]
+struct State {
+    trouble: Trouble,
+    target: Option<SocketAddr>,
+    streams: Vec<TcpStream>,
+    /// Pieces that were held, lost or turned.
+    struck: u64,
+}
+
+impl Link {
+    /// A link that leads nowhere yet.
+    pub fn start() -> io::Result<Link> {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+        let link = Link { address: listener.local_addr()?, inner: Arc::default() };
+        let own = link.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                own.take(stream);
+            }
+        });
+        Ok(link)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.inner.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// From now on it leads here.
+    pub fn lead(&self, target: SocketAddr) {
+        self.lock().target = Some(target);
+    }
+
+    /// Puts a trouble in the place of the last one.
+    pub fn suffer(&self, trouble: Trouble) {
+        let mut state = self.lock();
+        state.trouble = trouble;
+        if trouble.cut {
+            for stream in state.streams.drain(..) {
+                let _ = stream.shutdown(Shutdown::Both);
+            }
+        }
+        self.inner.1.notify_all();
+    }
+
+    /// How many pieces troubles have struck.
+    pub fn struck(&self) -> u64 {
+        self.lock().struck
+    }
+
+    fn take(&self, near: TcpStream) {
+        let mut state = self.lock();
+        let Some(target) = state.target.filter(|_| !state.trouble.cut) else { return };
+        let Ok(far) = TcpStream::connect_timeout(&target, Duration::from_secs(1)) else { return };
+        for stream in [&near, &far] {
+            let _ = stream.set_nodelay(true);
+            state.streams.extend(stream.try_clone());
+        }
+        state.streams.retain(|stream| stream.peer_addr().is_ok());
+        let Some((near_too, far_too)) = near.try_clone().ok().zip(far.try_clone().ok()) else { return };
+        for (from, to, back) in [(near, far, false), (far_too, near_too, true)] {
+            let link = self.clone();
+            thread::spawn(move || link.pump(from, to, back));
+        }
+    }
+
+    fn pump(&self, mut from: TcpStream, mut to: TcpStream, back: bool) {
+        let mut piece = [0; 16 << 10];
+        while let Ok(length @ 1..) = from.read(&mut piece) {
+            if self.pass(&mut piece[..length], &mut to, back).is_err() {
+                break;
+            }
+        }
+        let _ = to.shutdown(Shutdown::Write);
+        let _ = from.shutdown(Shutdown::Read);
+    }
+
+    fn pass(&self, piece: &mut [u8], to: &mut TcpStream, back: bool) -> io::Result<()> {
+        let mut state = self.lock();
+        let way = |state: &State| if back { state.trouble.back } else { state.trouble.there };
+        state.struck += u64::from(way(&state) != Way::Pass);
+        while way(&state) == Way::Stall {
+            state = self.inner.1.wait(state).unwrap_or_else(PoisonError::into_inner);
+        }
+        let way = way(&state);
+        drop(state);
+        match way {
+            Way::Pass | Way::Stall => to.write_all(piece),
+            Way::Late(by) => {
+                thread::sleep(by);
+                to.write_all(piece)
+            }
+            Way::Slow(apart) => piece.chunks(1).try_for_each(|byte| {
+                thread::sleep(apart);
+                to.write_all(byte)
+            }),
+            Way::Lose => Ok(()),
+            Way::Garble => {
+                let middle = piece.len() / 2;
+                piece[middle] ^= 0x10;
+                to.write_all(piece)
+            }
+        }
+    }
+}
--- a/deploy/operator.sexp
+++ b/deploy/operator.sexp
@@ -40,3 +40,11 @@
 ;   (port 5640)
 ;   (listen "127.0.0.1:1112")
 ;   (peers "127.0.0.2:1112"))
+
+; A fleet that keeps tenants together (docs/operators/store.md). The tenant forms above must go then.
+; (fleet
+;   (name "sesvete")
+;   (secret "known-to-this-fleet-alone")
+;   (listen "127.0.0.1:5690")
+;   (dir "/var/lib/sedgerun/h1")
+;   (keepers "h1=127.0.0.1:5690" "h2=127.0.0.1:5691" "h3=127.0.0.1:5692"))
