An older copy of a keeper's disk is refused, and a restarted leader stands anew

A folder put back to an earlier copy has the right number and may have forgotten a vote or entries; with one more keeper behind, the two would go on without what was promised. And a leader started again went on as leader of its old term (openraft resumes a vote that was settled): term 1 before and after a kill. Change: sedgerun_fleet::memory (pure) remembers for each store its life and the furthest vote and entry that it acknowledged; greetings say life and mark at waking; an older copy is refused and told so, and neither votes, acknowledges nor stands. A store that wakes asks the others first, 2 s at most. A restarted keeper's own vote counts as not settled. The first run of the test showed that a copy started again counts the same life: a number drawn at each start tells them apart. Tests: an_older_copy_of_a_disk_makes_no_majority (fails with is_older unheeded: the copy is counted), a_leader_started_again_stands_for_election_anew (fails with the vote left settled: it goes on in term 1).

--- a/crates/fleet/src/greeting.rs
+++ b/crates/fleet/src/greeting.rs
@@ -1,5 +1,6 @@
 //! What two heads say first on a connection, and whether they go on.
 
+use crate::memory::{Life, Mark};
 use serde::{Deserialize, Serialize};
 use std::fmt;
 
@@ -18,8 +19,10 @@
     pub head: String,
     /// Its store; `None` from the command line.
     pub store: Option<StoreId>,
-    /// Counted up and synced at each start of the store.
-    pub life: u64,
+    /// Its store's life.
+    pub life: Life,
+    /// How far it was when this life began.
+    pub woke: Mark,
     /// The origin of what it holds: a digest of the first keepers' stores, `None` while it holds nothing.
     pub origin: Option<u64>,
 }
@@ -35,6 +38,8 @@
     Origin,
     /// It has this head's name, and is another store.
     Name,
+    /// It has forgotten what it acknowledged: an older copy of its disk.
+    Older,
 }
 
 impl fmt::Display for Refusal {
@@ -44,6 +49,7 @@
             Refusal::Secret => "wrong secret",
             Refusal::Origin => "holds the state of another fleet of this name",
             Refusal::Name => "two heads have this name",
+            Refusal::Older => "an older copy of its disk, and has forgotten what it acknowledged",
         })
     }
 }
@@ -92,7 +98,8 @@
             secret: "known to the fleet".into(),
             head: "h1".into(),
             store: Some(1),
-            life: 4,
+            life: Life { count: 4, birth: 7 },
+            woke: Mark::default(),
             origin: Some(9),
         };
         let other = Greeting { head: "h2".into(), store: Some(2), ..own.clone() };
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -2,8 +2,10 @@
 //! are written down, and who is spoken to. No I/O, clock, socket or thread; the same input gives the same output.
 //!
 //! [`state`] is what every keeper holds and every change does to it; [`record`] wraps whatever goes to a disk or
-//! to another head in a format version and a checksum; [`greeting`] decides whether two heads may speak.
+//! to another head in a format version and a checksum; [`greeting`] decides whether two heads may speak,
+//! [`memory`] whether a store is what it was.
 
 pub mod greeting;
+pub mod memory;
 pub mod record;
 pub mod state;
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -37,6 +37,8 @@
     Call = 8,
     /// The answer to a call.
     Reply = 9,
+    /// What is remembered of other stores.
+    Memory = 10,
 }
 
 /// Why a record cannot be read.
--- a/crates/head/src/fleet/disk.rs
+++ b/crates/head/src/fleet/disk.rs
@@ -7,6 +7,7 @@
 use openraft::storage::LogFlushed;
 use redb::{Database, Durability, ReadableDatabase, ReadableTable, TableDefinition};
 use sedgerun_fleet::greeting::StoreId;
+use sedgerun_fleet::memory::{Mark, Memory};
 use sedgerun_fleet::record::{self, Kind};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -52,10 +53,22 @@
     pub purged: Option<LogId>,
     /// The log.
     pub log: BTreeMap<u64, Entry>,
+    /// What is remembered of other stores.
+    pub memory: Memory,
     /// The last snapshot and its state.
     pub snapshot: Option<(SnapshotMeta, Vec<u8>)>,
 }
 
+impl Held {
+    /// How far the store was when it was opened.
+    pub fn mark(&self) -> Mark {
+        let snapshot = self.snapshot.as_ref().and_then(|(head, _)| head.last_log_id);
+        let last = self.log.values().next_back().map(|entry| entry.log_id).max(self.purged).max(snapshot);
+        let position = |at: LogId| (at.leader_id.term, at.index);
+        Mark { vote: self.vote.map_or(0, |vote| vote.leader_id().term), last: last.map_or((0, 0), position) }
+    }
+}
+
 /// A sync's times, read by others.
 #[derive(Debug, Default)]
 pub struct Syncs {
@@ -72,8 +85,8 @@
 enum Job {
     Append(Vec<(u64, Vec<u8>)>, LogFlushed<Types>),
     Put(&'static str, Vec<u8>, Done),
-    /// Settled up to here: worth keeping, never worth a sync.
-    Committed(Vec<u8>),
+    /// Worth keeping, never worth a sync: how far entries are settled, and what is remembered of others.
+    Note(&'static str, Vec<u8>),
     Truncate(u64, Done),
     Purge(u64, Vec<u8>, Done),
     Snapshot(Vec<u8>, Vec<u8>, Done),
@@ -161,6 +174,7 @@
         committed: opened(Kind::Position, "committed", bytes("committed")?)?,
         purged: opened(Kind::Position, "purged", bytes("purged")?)?,
         log,
+        memory: opened(Kind::Memory, "memory", bytes("memory")?)?.unwrap_or_default(),
         snapshot,
     })
 }
@@ -202,7 +216,7 @@
                 }
                 Job::Put(_, _, done) | Job::Truncate(_, done) => drop(done.send(written.clone())),
                 Job::Purge(_, _, done) | Job::Snapshot(_, _, done) => drop(done.send(written.clone())),
-                Job::Committed(_) => {}
+                Job::Note(..) => {}
             }
         }
     }
@@ -214,7 +228,7 @@
     // Guards against a commit that vanishes: with one phase, a store that was killed and of which one page is
     // spoilt is taken back to the commit before, silently, and what was promised since is gone.
     begin.set_quick_repair(true);
-    if jobs.iter().all(|job| matches!(job, Job::Committed(_))) {
+    if jobs.iter().all(|job| matches!(job, Job::Note(..))) {
         begin.set_durability(Durability::None)?;
     }
     {
@@ -226,8 +240,9 @@
                         log.insert(index, entry.as_slice())?;
                     }
                 }
-                Job::Put(name, bytes, _) => drop(meta.insert(name, bytes.as_slice())?),
-                Job::Committed(bytes) => drop(meta.insert("committed", bytes.as_slice())?),
+                Job::Put(name, bytes, _) | Job::Note(name, bytes) => {
+                    drop(meta.insert(name, bytes.as_slice())?)
+                }
                 Job::Truncate(from, _) => log.retain_in::<u64, _>(*from.., |_, _| false)?,
                 Job::Purge(upto, position, _) => {
                     log.retain_in::<u64, _>(..=*upto, |_, _| false)?;
@@ -266,11 +281,10 @@
         self.jobs.send(job).await.map_err(|_| "the writer of the store has ended".to_owned())
     }
 
-    /// Notes how far entries are settled, some time.
-    pub async fn committed(&self, position: LogId) {
-        if let Ok(bytes) = record::seal(Kind::Position, &position) {
-            // Lost, it is only found out anew from the others.
-            let _ = self.jobs.send(Job::Committed(bytes)).await;
+    /// Notes what is only found out anew from the others where it is lost: some time, with no sync of its own.
+    pub async fn note<T: Serialize>(&self, kind: Kind, name: &'static str, value: &T) {
+        if let Ok(bytes) = record::seal(kind, value) {
+            let _ = self.jobs.send(Job::Note(name, bytes)).await;
         }
     }
 
--- a/crates/head/src/fleet/keeper.rs
+++ b/crates/head/src/fleet/keeper.rs
@@ -1,20 +1,21 @@
 //! One head's part in the fleet: it keeps the state with the others, passes changes on to the leader, and says
 //! how it stands.
 
-use super::disk::{Disk, Held, Identity};
+use super::disk::{Disk, Held, Identity, random};
 use super::link::{Links, protocol};
 use super::log::Log;
 use super::machine::Machine;
 use super::settings::Settings;
-use super::types::{Call, Known, Place, Raft, Reply, Status};
+use super::types::{Call, Known, Place, Raft, Reply, Status, Vote};
 use openraft::error::{ClientWriteError, ForwardToLeader, RaftError};
 use openraft::{Config, ServerState, SnapshotPolicy};
 use sedgerun_fleet::greeting::{Greeting, StoreId, origin};
+use sedgerun_fleet::memory::Life;
 use sedgerun_fleet::record::Kind;
 use sedgerun_fleet::state::{Change, Outcome};
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 use tokio::sync::Mutex;
 
@@ -27,6 +28,10 @@
 const SNAPSHOT_KEEP: u64 = 1000;
 /// Time in which a change is settled or refused.
 const CHANGE: Duration = Duration::from_millis(950);
+/// Time that a store which has just woken waits for the word of each other keeper.
+const WAKE: Duration = Duration::from_secs(2);
+/// How often what is remembered of other stores is written down.
+const REMEMBER: Duration = Duration::from_millis(200);
 /// Between tries while there is no leader.
 const RETRY: Duration = Duration::from_millis(25);
 
@@ -47,22 +52,32 @@
     identity: Mutex<Identity>,
     /// Frames and greetings refused.
     pub refused: AtomicU64,
+    /// The others have been asked what this store acknowledged: it votes and acknowledges.
+    awake: AtomicBool,
 }
 
 impl Keeper {
     /// Takes up the life of a store.
     pub async fn start(settings: Settings, head: &str, disk: Disk, held: Held) -> Result<Keeper, String> {
-        let Held { identity, vote, committed, purged, log, snapshot } = held;
+        let woke = held.mark();
+        let Held { identity, vote, committed, purged, log, memory, snapshot } = held;
         let own = Greeting {
             fleet: settings.name.clone(),
             secret: settings.secret.clone(),
             head: head.to_owned(),
             store: Some(identity.store),
-            life: identity.life,
+            life: Life { count: identity.life, birth: random()? },
+            woke,
             origin: identity.origin,
         };
-        let links = Links::new(own, settings.keepers.clone());
+        let links = Links::new(own, settings.keepers.clone(), memory);
         let machine = Machine::new(disk.clone(), snapshot, &log, committed)?;
+        // Guards against a leader that goes on where it was: what it sent and had not synced is gone, and it would
+        // put other entries in the same places. A restarted process is a new life, and stands for election anew.
+        let vote = vote.map(|vote| match vote.leader_id().voted_for() {
+            Some(own) if own == identity.store => Vote { committed: false, ..vote },
+            _ => vote,
+        });
         let log = Log::new(disk.clone(), log, purged, vote, committed);
         let config = Config {
             cluster_name: settings.name.clone(),
@@ -74,13 +89,15 @@
             max_in_snapshot_log_to_keep: SNAPSHOT_KEEP,
             snapshot_max_chunk_size: 512 << 10,
             install_snapshot_timeout: 2000,
+            // Until it is awake.
+            enable_elect: false,
             ..Config::default()
         };
         let config = Arc::new(config.validate().map_err(|error| error.to_string())?);
         let raft = Raft::new(identity.store, config, links.clone(), log, machine.clone());
         let raft = raft.await.map_err(|error| error.to_string())?;
-        let (identity, refused) = (Mutex::new(identity), AtomicU64::new(0));
-        Ok(Keeper { raft, machine, links, settings, disk, identity, refused })
+        let (identity, refused, awake) = (Mutex::new(identity), AtomicU64::new(0), AtomicBool::default());
+        Ok(Keeper { raft, machine, links, settings, disk, identity, refused, awake })
     }
 
     /// Answers a call of another head, which said this of itself.
@@ -88,6 +105,12 @@
         let call = match call {
             // Whoever keeps with us is of our fleet: from its first word of the protocol on.
             Call::Append(_) | Call::Vote(_) | Call::Snapshot(_) => {
+                // Guards against a promise on top of what an older copy of the disk has forgotten.
+                if self.links.is_old() || !self.awake.load(Ordering::SeqCst) {
+                    return Reply::Refused(
+                        "has just started, and asks the others what it has acknowledged".into(),
+                    );
+                }
                 if let Err(what) = self.adopt(from.origin).await {
                     return Reply::Refused(what);
                 }
@@ -119,6 +142,53 @@
         }
     }
 
+    /// Asks the other keepers, as a store that has just woken, whether it is what they remember; then it votes.
+    /// One that cannot be reached is waited for so long, and no longer: it may be gone for good.
+    pub async fn wake(&self) {
+        let own = self.links.own();
+        let membership = self.machine.membership();
+        let others = membership.nodes().filter(|(store, _)| Some(**store) != own.store);
+        let mut others: Vec<Place> = others.map(|(_, place)| place.clone()).collect();
+        let begun = Instant::now();
+        while !others.is_empty() && begun.elapsed() < WAKE && !self.links.is_old() {
+            let mut left = Vec::new();
+            for place in others {
+                let heard = match self.links.route(&place) {
+                    Some(to) => self.links.dial(to).await.is_ok(),
+                    None => false,
+                };
+                if !heard {
+                    left.push(place);
+                }
+            }
+            others = left;
+            if !others.is_empty() {
+                tokio::time::sleep(RETRY).await;
+            }
+        }
+        if !self.links.is_old() {
+            self.awake.store(true, Ordering::SeqCst);
+            self.raft.runtime_config().elect(true);
+        }
+    }
+
+    /// Writes down what is remembered of the others, as it changes, and ends this head's part where it is an
+    /// older copy of itself.
+    pub async fn remember(&self) {
+        let mut written = self.links.remembered();
+        loop {
+            tokio::time::sleep(REMEMBER).await;
+            let now = self.links.remembered();
+            if now != written {
+                self.disk.note(Kind::Memory, "memory", &now).await;
+                written = now;
+            }
+            if self.links.is_old() {
+                self.raft.runtime_config().elect(false);
+            }
+        }
+    }
+
     /// Takes over a fleet's origin, once, synced.
     async fn adopt(&self, theirs: Option<u64>) -> Result<(), String> {
         let mut identity = self.identity.lock().await;
@@ -288,7 +358,8 @@
             }
         });
         let keepers: Vec<Known> = keepers.collect();
-        let trouble = metrics.running_state.as_ref().err().map(ToString::to_string);
+        let old = self.links.is_old().then(|| "an older copy of its disk: remove its folder".to_owned());
+        let trouble = metrics.running_state.as_ref().err().map(ToString::to_string).or(old);
         let role = match metrics.state {
             _ if trouble.is_some() => "stopped",
             _ if !voters.contains(&metrics.id) => "new",
@@ -303,7 +374,7 @@
             fleet: own.fleet,
             head: own.head,
             store: metrics.id,
-            life: own.life,
+            life: own.life.count,
             role: role.to_owned(),
             leader: leader.map(|place| place.head.clone()),
             term: metrics.current_term,
--- a/crates/head/src/fleet/link.rs
+++ b/crates/head/src/fleet/link.rs
@@ -10,13 +10,15 @@
 };
 use openraft::{RaftNetwork, RaftNetworkFactory};
 use sedgerun_fleet::greeting::{Greeting, Refusal, StoreId, admit};
+use sedgerun_fleet::memory::{Life, Mark, Memory};
 use sedgerun_fleet::record::{self, Kind};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::collections::{BTreeMap, HashMap};
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -63,12 +65,16 @@
     own: Mutex<Greeting>,
     routes: BTreeMap<String, SocketAddr>,
     idle: Mutex<HashMap<SocketAddr, Vec<TcpStream>>>,
+    memory: Mutex<Memory>,
+    /// Another head has said that this one is an older copy of its disk.
+    old: AtomicBool,
 }
 
 impl Links {
     /// Links of a head that says this of itself, and reaches heads by name at these addresses.
-    pub fn new(own: Greeting, routes: BTreeMap<String, SocketAddr>) -> Links {
-        Links(Arc::new(Inner { own: Mutex::new(own), routes, idle: Mutex::default() }))
+    pub fn new(own: Greeting, routes: BTreeMap<String, SocketAddr>, memory: Memory) -> Links {
+        let (own, memory, old) = (Mutex::new(own), Mutex::new(memory), AtomicBool::default());
+        Links(Arc::new(Inner { own, routes, idle: Mutex::default(), memory, old }))
     }
 
     /// What this head says of itself.
@@ -81,6 +87,27 @@
         self.0.own.lock().unwrap_or_else(PoisonError::into_inner).origin = Some(origin);
     }
 
+    /// Whether another head has said that this one has forgotten what it acknowledged.
+    pub fn is_old(&self) -> bool {
+        self.0.old.load(Ordering::SeqCst)
+    }
+
+    fn memory(&self) -> MutexGuard<'_, Memory> {
+        self.0.memory.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// What is remembered of other stores.
+    pub fn remembered(&self) -> Memory {
+        self.memory().clone()
+    }
+
+    /// Whether this head goes on with one that said this.
+    pub fn admit(&self, own: &Greeting, theirs: &Greeting) -> Result<(), Refusal> {
+        admit(own, theirs)?;
+        let older = theirs.store.is_some_and(|store| self.memory().is_older(store, theirs.life, theirs.woke));
+        if older { Err(Refusal::Older) } else { Ok(()) }
+    }
+
     /// Where this head calls a keeper: its own settings come first.
     pub fn route(&self, place: &Place) -> Option<SocketAddr> {
         self.0.routes.get(&place.head).copied().or_else(|| address(&place.address))
@@ -96,8 +123,11 @@
             let theirs: Result<Greeting, Refusal> = receive(&mut stream, Kind::Greeting).await?;
             let refused =
                 |refusal: Refusal| io::Error::new(io::ErrorKind::PermissionDenied, refusal.to_string());
+            if theirs == Err(Refusal::Older) {
+                self.0.old.store(true, Ordering::SeqCst);
+            }
             let theirs = theirs.map_err(refused)?;
-            admit(&own, &theirs).map_err(refused)?;
+            self.admit(&own, &theirs).map_err(refused)?;
             Ok((stream, theirs))
         };
         tokio::time::timeout(GREETING, greet).await.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
@@ -131,6 +161,8 @@
     target: StoreId,
     to: Option<SocketAddr>,
     stream: Option<TcpStream>,
+    /// The life of the store at the other end.
+    life: Life,
 }
 
 impl Way {
@@ -146,6 +178,7 @@
                     if greeting.store != Some(self.target) {
                         return Err(io::Error::other("another store lives there"));
                     }
+                    self.life = greeting.life;
                     stream
                 }
             };
@@ -178,8 +211,16 @@
         rpc: AppendEntriesRequest<Types>,
         option: RPCOption,
     ) -> Result<AppendEntriesResponse<StoreId>, RPCError<StoreId, Place, RaftError<StoreId>>> {
+        let last = rpc.entries.last().map(|entry| entry.log_id).or(rpc.prev_log_id);
+        let vote = rpc.vote.leader_id().term;
         match self.call(&Call::Append(rpc), &option).await {
-            Ok(Reply::Append(answer)) => Ok(answer),
+            Ok(Reply::Append(answer)) => {
+                if let AppendEntriesResponse::Success = answer {
+                    let last = last.map_or((0, 0), |last| (last.leader_id.term, last.index));
+                    self.links.memory().note(self.target, self.life, Mark { vote, last });
+                }
+                Ok(answer)
+            }
             Ok(other) => Err(refused(&other)),
             Err(error) => Err(unreachable(&error)),
         }
@@ -209,8 +250,15 @@
         rpc: VoteRequest<StoreId>,
         option: RPCOption,
     ) -> Result<VoteResponse<StoreId>, RPCError<StoreId, Place, RaftError<StoreId>>> {
+        let vote = rpc.vote.leader_id().term;
         match self.call(&Call::Vote(rpc), &option).await {
-            Ok(Reply::Vote(answer)) => Ok(answer),
+            Ok(Reply::Vote(answer)) => {
+                if answer.vote_granted {
+                    let mark = Mark { vote, ..Mark::default() };
+                    self.links.memory().note(self.target, self.life, mark);
+                }
+                Ok(answer)
+            }
             Ok(other) => Err(refused(&other)),
             Err(error) => Err(unreachable(&error)),
         }
@@ -221,7 +269,7 @@
     type Network = Way;
 
     async fn new_client(&mut self, target: StoreId, node: &Place) -> Way {
-        Way { links: self.clone(), target, to: self.route(node), stream: None }
+        Way { links: self.clone(), target, to: self.route(node), stream: None, life: Life::default() }
     }
 }
 
--- a/crates/head/src/fleet/log.rs
+++ b/crates/head/src/fleet/log.rs
@@ -82,7 +82,7 @@
     async fn save_committed(&mut self, committed: Option<LogId>) -> Result<(), StorageError> {
         self.lock().committed = committed;
         if let Some(committed) = committed {
-            self.disk.committed(committed).await;
+            self.disk.note(Kind::Position, "committed", &committed).await;
         }
         Ok(())
     }
--- a/crates/head/src/fleet/mod.rs
+++ b/crates/head/src/fleet/mod.rs
@@ -71,6 +71,11 @@
                     Ok((keeper, listener)) => {
                         let _ = started.send(Ok((Handle::current(), Arc::clone(&keeper))));
                         tokio::spawn(watch_role(Arc::clone(&keeper)));
+                        let waking = Arc::clone(&keeper);
+                        tokio::spawn(async move {
+                            waking.wake().await;
+                            waking.remember().await;
+                        });
                         serve::serve(keeper, listener).await;
                     }
                     Err(what) => drop(started.send(Err(what))),
--- a/crates/head/src/fleet/serve.rs
+++ b/crates/head/src/fleet/serve.rs
@@ -3,7 +3,7 @@
 use super::keeper::Keeper;
 use super::link::{GREETING, receive, send};
 use super::types::Call;
-use sedgerun_fleet::greeting::{Greeting, Refusal, admit};
+use sedgerun_fleet::greeting::{Greeting, Refusal};
 use sedgerun_fleet::record::Kind;
 use std::io;
 use std::sync::Arc;
@@ -50,7 +50,7 @@
     let greeting = tokio::time::timeout(GREETING, receive(&mut stream, Kind::Greeting)).await;
     let mut theirs: Greeting = greeting.map_err(late)??;
     let own = keeper.links.own();
-    let admitted = admit(&own, &theirs);
+    let admitted = keeper.links.admit(&own, &theirs);
     let words: Result<Greeting, Refusal> = admitted.clone().map(|()| own);
     tokio::time::timeout(GREETING, send(&mut stream, Kind::Greeting, &words)).await.map_err(late)??;
     if let Err(refusal) = admitted {
--- a/crates/head/src/fleet/tell.rs
+++ b/crates/head/src/fleet/tell.rs
@@ -5,6 +5,7 @@
 use super::settings::Settings;
 use super::types::{Call, Reply, Status};
 use sedgerun_fleet::greeting::Greeting;
+use sedgerun_fleet::memory::{Life, Mark, Memory};
 use serde_json::{Value, json};
 use std::fmt::Write;
 use std::time::Duration;
@@ -18,10 +19,11 @@
         secret: settings.secret.clone(),
         head: head.to_owned(),
         store: None,
-        life: 0,
+        life: Life::default(),
+        woke: Mark::default(),
         origin: None,
     };
-    Links::new(own, settings.keepers.clone())
+    Links::new(own, settings.keepers.clone(), Memory::default())
 }
 
 fn block_on<T>(work: impl Future<Output = T>) -> Result<T, String> {
--- a/crates/head/tests/fleet.rs
+++ b/crates/head/tests/fleet.rs
@@ -136,6 +136,66 @@
     }
 }
 
+#[test]
+fn an_older_copy_of_a_disk_makes_no_majority() {
+    let mut rig = Rig::begun(3);
+    let apis: Vec<SocketAddr> = (0..3).map(|head| rig.api(head)).collect();
+    let leader = rig.leader(&[0, 1, 2]);
+    let (old, other) = ((leader + 1) % 3, (leader + 2) % 3);
+    settle(&apis, "horvat", "before");
+    rig.kill(old);
+    let copy = rig.dirs[old].with_extension("copy");
+    let copied = |from: &std::path::Path, to: &std::path::Path| {
+        std::fs::create_dir_all(to).expect("a folder");
+        std::fs::copy(from.join("fleet.redb"), to.join("fleet.redb")).expect("a copy");
+    };
+    copied(&rig.dirs[old], &copy);
+    rig.up(old);
+    assert_eq!(rig.leader(&[0, 1, 2]), leader);
+    // Settled at the leader and the one whose disk will be put back, and not known to the third.
+    rig.trouble(other, CUT, CUT);
+    for i in 0..5 {
+        settle(&[apis[leader]], "horvat", &format!("after{i}"));
+    }
+    rig.lose(old);
+    copied(&copy, &rig.dirs[old]);
+    rig.up(old);
+    let begun = Instant::now();
+    while !rig.status(leader)["heads"][old]["trouble"]
+        .as_str()
+        .is_some_and(|said| said.contains("older copy"))
+    {
+        assert!(begun.elapsed() < Duration::from_secs(10), "{}", rig.status(leader));
+    }
+    // The third and the old copy are two of three: were the copy counted, they would go on without the changes.
+    rig.trouble(other, CALM, CALM);
+    rig.trouble(leader, CUT, CUT);
+    let begun = Instant::now();
+    while begun.elapsed() < Duration::from_secs(3) {
+        let said = put(apis[other], "horvat", "wrong", "wrong").expect("an answer");
+        assert_eq!(said.status, 503, "{said:?}");
+    }
+    rig.trouble(leader, CALM, CALM);
+    let held = exports(apis[other], "horvat");
+    for i in 0..5 {
+        assert!(held.contains(&format!("after{i}")), "{held:?}");
+    }
+}
+
+#[test]
+fn a_leader_started_again_stands_for_election_anew() {
+    let mut rig = Rig::begun(3);
+    let apis: Vec<SocketAddr> = (0..3).map(|head| rig.api(head)).collect();
+    settle(&apis, "horvat", "before");
+    let leader = rig.leader(&[0, 1, 2]);
+    let term = rig.status(leader)["heads"][leader]["term"].as_u64();
+    rig.kill(leader);
+    rig.up(leader);
+    let again = rig.leader(&[0, 1, 2]);
+    assert!(rig.status(again)["heads"][again]["term"].as_u64() > term, "it goes on in term {term:?}");
+    assert_eq!(exports(rig.api(again), "horvat"), ["before"]);
+}
+
 #[test]
 fn without_a_majority_reads_go_on_and_changes_are_refused_within_a_second() {
     let mut rig = Rig::begun(3);
@@ -221,6 +281,7 @@
     let mut rig = Rig::begun(3);
     let apis: Vec<SocketAddr> = (0..3).map(|head| rig.api(head)).collect();
     settle(&apis, "a-name-to-be-found", "press");
+    rig.synced(1);
     rig.kill(1);
     let file = rig.dirs[1].join("fleet.redb");
     let mut bytes = std::fs::read(&file).expect("a store");
@@ -230,7 +291,12 @@
     at.iter().for_each(|at| bytes[*at] ^= 1);
     std::fs::write(&file, &bytes).expect("a store");
     let (config, operator) = rig.files(1);
-    let child = rig::standin::Program::launch(&config.to_string(), Some(&operator));
+    let mut child = rig::standin::Program::launch(&config.to_string(), Some(&operator));
+    let begun = Instant::now();
+    while child.try_wait().expect("a state").is_none() && begun.elapsed() < Duration::from_secs(10) {
+        thread::sleep(Duration::from_millis(20));
+    }
+    let _ = child.kill();
     let ended = child.wait_with_output().expect("an end");
     let said = String::from_utf8_lossy(&ended.stderr);
     assert_eq!(ended.status.code(), Some(2), "{said}");
--- a/crates/head/tests/rig/mod.rs
+++ b/crates/head/tests/rig/mod.rs
@@ -136,6 +136,21 @@
         }
     }
 
+    /// Waits until a head has synced all that the leader holds.
+    pub fn synced(&self, head: usize) {
+        let begun = Instant::now();
+        loop {
+            let leader = self.leader(&(0..self.heads.len()).collect::<Vec<_>>());
+            let status = &self.status(leader)["heads"][leader];
+            let keepers = status["keepers"].as_array().cloned().unwrap_or_default();
+            let known = keepers.iter().find(|keeper| keeper["head"] == format!("n{head}"));
+            if known.is_some_and(|keeper| keeper["matched"].is_u64() && keeper["matched"] == status["last"]) {
+                return;
+            }
+            assert!(begun.elapsed() < Duration::from_secs(10), "n{head} lags: {status}");
+        }
+    }
+
     /// Puts a trouble on all links from a head, and its mirror on all links to it.
     pub fn trouble(&self, head: usize, from: Trouble, to: Trouble) {
         for other in (0..self.heads.len()).filter(|other| *other != head) {
