A waking store asks the keepers of its settings too, not only those it noted

Found on reading the change again: wake asked the keepers of the applied membership, which a restart rebuilds from the note of what is settled; that note has no sync of its own, so that a store killed early knew nobody to ask, and voted at once, an older copy among them. keeper.rs, wake: the settings' keepers are asked as well. The hole was read, not seen; no test fails without this guard yet (the note would have to be lost at a named point).

--- a/crates/head/src/fleet/keeper.rs
+++ b/crates/head/src/fleet/keeper.rs
@@ -148,8 +148,18 @@
     pub async fn wake(&self) {
         let own = self.links.own();
         let membership = self.machine.membership();
-        let others = membership.nodes().filter(|(store, _)| Some(**store) != own.store);
-        let mut others: Vec<Place> = others.map(|(_, place)| place.clone()).collect();
+        let mut others: BTreeMap<String, Place> = BTreeMap::new();
+        // Guards against a store that was killed before it noted who keeps (that note has no sync of its own): it
+        // would know nobody to ask. The keepers of the settings are asked too, once there is a fleet.
+        if own.origin.is_some() {
+            let named = self.settings.keepers.iter();
+            others.extend(
+                named.map(|(head, at)| (head.clone(), Place { head: head.clone(), address: at.to_string() })),
+            );
+        }
+        others.extend(membership.nodes().map(|(_, place)| (place.head.clone(), place.clone())));
+        others.remove(&own.head);
+        let mut others: Vec<Place> = others.into_values().collect();
         let begun = Instant::now();
         while !others.is_empty() && begun.elapsed() < WAKE && !self.links.is_old() {
             let mut left = Vec::new();
