--- a/crates/core/src/maintenance.rs
+++ b/crates/core/src/maintenance.rs
@@ -21,6 +21,10 @@
     Disable(String),
     /// This brick back.
     Enable(String),
+    /// Nothing more to this brick from any head of the fleet.
+    FleetDisable(String),
+    /// This brick back at all heads of the fleet.
+    FleetEnable(String),
     /// Send clients away.
     Drain,
     /// Back to work.
@@ -50,6 +54,8 @@
             "resume" => Call::Resume,
             "disable-server" => Call::Disable(id(&mut words)?),
             "enable-server" => Call::Enable(id(&mut words)?),
+            "fleet-disable-server" => Call::FleetDisable(id(&mut words)?),
+            "fleet-enable-server" => Call::FleetEnable(id(&mut words)?),
             other => return Err(format!("unknown call {:?}", other.chars().take(32).collect::<String>())),
         };
         match words.next() {
@@ -71,19 +77,22 @@
 /// The bricks that operators have taken out, and the last entry of each listed brick.
 #[derive(Debug, Default)]
 pub struct Bans {
+    /// By this head's own operators' address.
     banned: BTreeSet<NodeId>,
+    /// By the fleet, at all its heads.
+    for_all: BTreeSet<NodeId>,
     listed: BTreeMap<NodeId, Listed>,
 }
 
 impl Bans {
-    /// The banned bricks.
+    /// The bricks that are banned at this head alone.
     pub fn banned(&self) -> impl Iterator<Item = NodeId> + '_ {
         self.banned.iter().copied()
     }
 
-    /// Whether a brick is banned.
+    /// Whether a brick is banned, here or by the fleet.
     pub fn is_banned(&self, node: NodeId) -> bool {
-        self.banned.contains(&node)
+        self.banned.contains(&node) || self.for_all.contains(&node)
     }
 
     /// Bricks on the list.
@@ -93,7 +102,7 @@
 
     /// Listed bricks that are banned.
     pub fn out_of_rotation(&self) -> usize {
-        self.banned.iter().filter(|node| self.listed.contains_key(node)).count()
+        self.banned.union(&self.for_all).filter(|node| self.listed.contains_key(node)).count()
     }
 
     /// News of the list on its way to the decisions: noted, and banned bricks turned into draining ones.
@@ -107,8 +116,8 @@
             } else {
                 self.listed.insert(entry.node, entry.clone());
             }
-            if self.banned.contains(&entry.node) && entry.readiness == Readiness::Ready {
-                entry.readiness = Readiness::Draining;
+            if self.is_banned(entry.node) {
+                *entry = drained(entry);
             }
         }
         nodes
@@ -117,12 +126,8 @@
     /// Takes a brick out. A second call for one that is out is answered yes and changes nothing.
     pub fn disable(&mut self, node: NodeId) -> Verdict {
         let Some(entry) = self.listed.get(&node) else { return Verdict::No("no such brick on the list") };
-        let mut entry = entry.clone();
         self.banned.insert(node);
-        if entry.readiness == Readiness::Ready {
-            entry.readiness = Readiness::Draining;
-        }
-        Verdict::Yes(vec![entry])
+        Verdict::Yes(vec![drained(entry)])
     }
 
     /// Puts a brick back, as one that has just started.
@@ -130,14 +135,28 @@
         if !self.banned.remove(&node) {
             return Verdict::No("that brick is not disabled");
         }
-        match self.listed.get_mut(&node) {
-            Some(entry) => {
-                // Operators restart a brick while it is out: it comes back cold.
-                entry.came_up = entry.came_up.max(now);
-                Verdict::Yes(vec![entry.clone()])
-            }
-            None => Verdict::Yes(Vec::new()),
+        Verdict::Yes(self.back(node, now).into_iter().collect())
+    }
+
+    /// A brick that was banned is back, unless another ban holds it: operators restart a brick while it is out,
+    /// so that it comes back cold.
+    fn back(&mut self, node: NodeId, now: Micros) -> Option<Listed> {
+        if self.is_banned(node) {
+            return None;
         }
+        let entry = self.listed.get_mut(&node)?;
+        entry.came_up = entry.came_up.max(now);
+        Some(entry.clone())
+    }
+
+    /// From now on these are the bricks that the fleet has banned: the changes to tell.
+    pub fn ban_for_all(&mut self, banned: BTreeSet<NodeId>, now: Micros) -> Vec<Listed> {
+        let before = std::mem::replace(&mut self.for_all, banned);
+        let added = self.for_all.difference(&before).filter_map(|node| self.listed.get(node));
+        let mut told: Vec<Listed> = added.map(drained).collect();
+        let lifted: Vec<NodeId> = before.difference(&self.for_all).copied().collect();
+        told.extend(lifted.into_iter().filter_map(|node| self.back(node, now)));
+        told
     }
 
     /// Takes over bans that another process of this head has made or lifted: the changes to tell.
@@ -162,6 +181,12 @@
     }
 }
 
+/// An entry as it is told while its brick is banned.
+fn drained(entry: &Listed) -> Listed {
+    let readiness = if entry.readiness == Readiness::Ready { Readiness::Draining } else { entry.readiness };
+    Listed { readiness, ..entry.clone() }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -220,4 +245,29 @@
         let banned = bans.adopt(&[NodeId(1)].into_iter().collect(), 8);
         assert_eq!(banned[0].readiness, Readiness::Draining);
     }
+
+    #[test]
+    fn a_ban_by_the_fleet_and_one_of_this_head_each_hold_a_brick_out() {
+        let mut bans = Bans::default();
+        bans.filter(Scope::Full, vec![entry(1, Readiness::Ready), entry(2, Readiness::Ready)]);
+        let both = BTreeSet::from([NodeId(1), NodeId(2)]);
+        let told = bans.ban_for_all(both.clone(), 1);
+        assert_eq!(told, vec![entry(1, Readiness::Draining), entry(2, Readiness::Draining)]);
+        assert!(bans.ban_for_all(both, 1).is_empty(), "told twice");
+        assert!(matches!(bans.disable(NodeId(1)), Verdict::Yes(_)));
+        assert_eq!(bans.out_of_rotation(), 2);
+        let back = Listed { came_up: 7, ..entry(2, Readiness::Ready) };
+        assert_eq!(
+            bans.ban_for_all(BTreeSet::new(), 7),
+            vec![back],
+            "this head's own ban still holds the first"
+        );
+        assert_eq!(
+            bans.filter(Scope::Delta, vec![entry(1, Readiness::Ready)]),
+            vec![entry(1, Readiness::Draining)]
+        );
+        bans.ban_for_all(BTreeSet::from([NodeId(1)]), 8);
+        assert_eq!(bans.enable(NodeId(1), 9), Verdict::Yes(vec![]), "the fleet's ban still holds it");
+        assert!(bans.is_banned(NodeId(1)));
+    }
 }
--- a/crates/fleet/src/greeting.rs
+++ b/crates/fleet/src/greeting.rs
@@ -19,6 +19,10 @@
     pub head: String,
     /// Its store; `None` from the command line.
     pub store: Option<StoreId>,
+    /// Its zone, where there is one.
+    pub zone: Option<String>,
+    /// Where others call it, as it knows.
+    pub address: String,
     /// Its store's life.
     pub life: Life,
     /// How far it was when this life began.
@@ -98,6 +102,8 @@
             secret: "known to the fleet".into(),
             head: "h1".into(),
             store: Some(1),
+            zone: None,
+            address: String::new(),
             life: Life { count: 4, birth: 7 },
             woke: Mark::default(),
             origin: Some(9),
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -11,7 +11,7 @@
 pub use postcard::Error as Unwritable;
 
 /// The format that this program writes. It reads no other.
-pub const FORMAT: u8 = 1;
+pub const FORMAT: u8 = 2;
 /// Bytes of a record before its body.
 const HEAD: usize = 6;
 
@@ -39,6 +39,10 @@
     Reply = 9,
     /// What is remembered of other stores.
     Memory = 10,
+    /// What a follower holds.
+    View = 11,
+    /// A backup.
+    Backup = 12,
 }
 
 /// Why a record cannot be read.
--- a/crates/head/src/admin.rs
+++ b/crates/head/src/admin.rs
@@ -14,7 +14,7 @@
 use bytes::BytesMut;
 use futures_util::StreamExt;
 use sedgerun_fleet::greeting::same;
-use sedgerun_fleet::state::Fields;
+use sedgerun_fleet::view::Fields;
 use sedgerun_settings::platform::flatten;
 use serde_json::{Value, json};
 use std::cell::RefCell;
--- a/crates/head/src/command.rs
+++ b/crates/head/src/command.rs
@@ -3,11 +3,13 @@
 //! them.
 
 use crate::config::Sources;
-use crate::fleet::{Fleet, tell};
+use crate::fleet::{Fleet, recover::recover, tell};
 use crate::head::{Head, Signals};
 use crate::logging;
 use clap::{Args, CommandFactory, Parser, Subcommand, ValueEnum};
+use sedgerun_fleet::state::Command as Ruling;
 use sedgerun_settings::{Faults, operator};
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 /// A storage gateway head that keeps volumes to their reservations, shares and limits.
@@ -68,6 +70,48 @@
     },
     /// Begin the fleet with the keepers of this head's settings, none of which may hold anything yet
     Begin,
+    /// How many heads keep: an odd number, 7 at the most
+    Keepers {
+        /// How many
+        number: u8,
+    },
+    /// How long a keeper may be silent before another takes its place
+    LostAfter {
+        /// In milliseconds, 1000 at the least
+        milliseconds: u64,
+    },
+    /// Let a head keep again that was kept from it by `remove`
+    Add {
+        /// The head's name
+        head: String,
+    },
+    /// Keep a head from keeping; another takes its place
+    Remove {
+        /// The head's name
+        head: String,
+    },
+    /// Give up the store that keeps under a head's name: another takes its place at once
+    Replace {
+        /// The head's name
+        head: String,
+    },
+    /// Write all that the fleet holds to a file
+    Backup {
+        /// The file
+        file: PathBuf,
+    },
+    /// Put a backup into a fleet that holds nothing yet
+    Restore {
+        /// The file
+        file: PathBuf,
+    },
+    /// With a majority lost for good: make a fleet of one of this head's store; the head must not be running.
+    /// Without the flag it says what may be lost
+    Recover {
+        /// The version after which whatever was promised may be lost
+        #[arg(long)]
+        lose_changes_after: Option<u64>,
+    },
 }
 
 #[derive(Clone, Copy, ValueEnum)]
@@ -86,6 +130,8 @@
 /// Runs the command line.
 pub fn main() -> ExitCode {
     let Cli { command, files, log, log_format } = Cli::parse();
+    // Tests kill the process at named points; a build for service has none.
+    let _points = fail::has_failpoints().then(fail::FailScenario::setup);
     match command {
         None | Some(Command::Serve) => {
             let form = match log_format {
@@ -121,9 +167,20 @@
     let config = sources(files)?.read()?;
     let missing = || Faults::one("fleet", "the operator's file has no (fleet ...)", None);
     let settings = config.operator.fleet.as_ref().ok_or_else(missing)?;
+    let (name, by) = (config.name.as_str(), |command| tell::make(settings, &config.name, command));
+    let settled =
+        |version: Result<u64, String>| version.map(|version| format!("settled at version {version}\n"));
     let asked = match ask {
-        Ask::Status { json } => tell::status(settings, &config.name, *json),
-        Ask::Begin => tell::begin(settings, &config.name),
+        Ask::Status { json } => tell::status(settings, name, *json),
+        Ask::Begin => tell::begin(settings, name),
+        Ask::Keepers { number } => settled(by(Ruling::Keepers(*number))),
+        Ask::LostAfter { milliseconds } => settled(by(Ruling::LostAfter(*milliseconds))),
+        Ask::Add { head } => settled(by(Ruling::MayKeep { head: head.clone(), may: true })),
+        Ask::Remove { head } => settled(by(Ruling::MayKeep { head: head.clone(), may: false })),
+        Ask::Replace { head } => settled(tell::replace(settings, name, head)),
+        Ask::Backup { file } => tell::backup(settings, name, file),
+        Ask::Restore { file } => tell::restore(settings, name, file),
+        Ask::Recover { lose_changes_after } => recover(settings, name, *lose_changes_after),
     };
     asked.map_err(|what| Faults::one("fleet", format!("fleet: {what}"), None))
 }
--- a/crates/head/src/figures.rs
+++ b/crates/head/src/figures.rs
@@ -47,7 +47,7 @@
     }
 
     /// All figures as lines, the classes by their names; `gauges` are (name, value) pairs.
-    pub fn render(&self, classes: &[String], gauges: &[(&str, usize)]) -> String {
+    pub fn render(&self, classes: &[String], gauges: &[(&str, u64)]) -> String {
         let mut text = String::new();
         for (position, class) in classes.iter().enumerate() {
             for (status, name) in STATUSES {
--- a/crates/head/src/fleet/api.rs
+++ b/crates/head/src/fleet/api.rs
@@ -5,7 +5,7 @@
 use crate::admin::{Api, Said, error};
 use actix_http::{HttpMessage, Method, Request, StatusCode};
 use sedgerun_fleet::state::{Command, Outcome};
-use serde_json::Value;
+use serde_json::{Value, json};
 use std::collections::BTreeMap;
 
 /// The longest key that a caller may give a change, in bytes.
@@ -24,7 +24,7 @@
         let tenant = match (request.method(), parts.as_slice()) {
             (
                 &Method::PUT | &Method::DELETE,
-                ["v1", "tenants", name] | ["v1", "tenants", name, "exports", _],
+                ["v1", "tenants", name] | ["v1", "tenants", name, "exports", _] | ["v1", "bans", name],
             ) => *name,
             _ => return self.read(fleet, request, body, version).await,
         };
@@ -48,6 +48,10 @@
                 *version = Some(done);
                 match *request.method() {
                     Method::DELETE => (StatusCode::NO_CONTENT, Value::Null),
+                    _ if parts[1] == "bans" => {
+                        let status = if fresh { StatusCode::CREATED } else { StatusCode::OK };
+                        (status, json!({"brick": tenant, "version": done}))
+                    }
                     _ => self.written(tenant, fresh),
                 }
             }
@@ -83,6 +87,11 @@
         };
         *version = Some(fleet.version());
         match waited {
+            Ok(_) if request.method() == Method::GET && request.path().trim_matches('/') == "v1/bans" => {
+                let bans = fleet.bans().into_iter();
+                let bans = bans.map(|(brick, version)| json!({"brick": brick, "version": version}));
+                (StatusCode::OK, json!({"bans": bans.collect::<Vec<Value>>()}))
+            }
             Ok(_) => self.route(request, body),
             Err(why) => error(StatusCode::SERVICE_UNAVAILABLE, why.0),
         }
@@ -94,6 +103,7 @@
         let json = || serde_json::from_slice::<Value>(body).map_err(|_| refused("malformed JSON".into()));
         let put = method == Method::PUT;
         Ok(match *parts {
+            [_, "bans", brick] => Command::Ban { brick: brick.into(), banned: put },
             [_, _, tenant, _, export] if put => {
                 let (fields, _) = self.export(tenant, Some(export), &json()?).map_err(refused)?;
                 Command::PutExport { tenant: tenant.into(), export: export.into(), fields }
--- /dev/null
+++ b/crates/head/src/fleet/change.rs
@@ -0,0 +1,173 @@
+//! Changes and settled reads: wherever the leader is, and whichever head is asked.
+
+use super::keeper::{Keeper, Unsettled};
+use super::types::{Call, Place, Reply};
+use openraft::ServerState;
+use openraft::error::{ClientWriteError, ForwardToLeader, RaftError};
+use sedgerun_fleet::follow::Teller;
+use sedgerun_fleet::greeting::StoreId;
+use sedgerun_fleet::state::{Change, Outcome};
+use std::time::{Duration, Instant};
+
+/// Time in which a change is settled or refused.
+const CHANGE: Duration = Duration::from_millis(950);
+/// Time that one try at one leader gets, where a follower cannot hear that another leads.
+const TRY: Duration = Duration::from_millis(450);
+/// Between tries while there is no leader.
+const RETRY: Duration = Duration::from_millis(20);
+
+/// Why a try came to nothing.
+enum Failed {
+    /// This head does not lead; this one may.
+    Elsewhere(Option<Place>),
+    /// Why else.
+    Why(String),
+}
+
+fn late() -> String {
+    "no majority of the keepers answers".to_owned()
+}
+
+impl Keeper {
+    /// Waits until another leads than this one, or nobody.
+    async fn moved(&self, from: Option<StoreId>) {
+        let mut metrics = self.raft.metrics();
+        if metrics.wait_for(|metrics| metrics.current_leader != from).await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+
+    /// Makes a change through this head as leader.
+    async fn write(&self, change: Change) -> Result<Outcome, Failed> {
+        let (leads, own) = {
+            let metrics = self.raft.metrics().borrow().clone();
+            (metrics.state == ServerState::Leader, metrics.id)
+        };
+        let written = tokio::select! {
+            written = self.raft.client_write(change) => written,
+            // Guards against a write that waits for a leadership that is lost: the library answers it only when
+            // another leader's entry takes its place.
+            () = self.moved(Some(own)), if leads => return Err(Failed::Why("the leader has just changed".into())),
+        };
+        match written {
+            Ok(written) => written.data.ok_or(Failed::Why("the change came to nothing".into())),
+            Err(RaftError::APIError(ClientWriteError::ForwardToLeader(to))) => {
+                let ForwardToLeader { leader_node, .. } = to;
+                Err(Failed::Elsewhere(leader_node))
+            }
+            Err(error) => Err(Failed::Why(error.to_string())),
+        }
+    }
+
+    /// Makes a change for another head, as leader, in so many milliseconds.
+    pub async fn lead(&self, change: Change, left: u64) -> Reply {
+        let left = Duration::from_millis(left).min(CHANGE);
+        match tokio::time::timeout(left, self.write(change)).await {
+            Ok(Ok(outcome)) => Reply::Changed(outcome),
+            Ok(Err(Failed::Elsewhere(place))) => Reply::Elsewhere(place),
+            Ok(Err(Failed::Why(what))) => Reply::Refused(what),
+            Err(_) => Reply::Refused(late()),
+        }
+    }
+
+    /// Calls the leader, for as long as it is the leader.
+    async fn ask_leader(&self, leader: &Teller, call: &Call, left: Duration) -> Result<Reply, String> {
+        let Some(to) = self.links.route(&leader.head, &leader.address) else {
+            return Err(format!("the leader {} has no address", leader.head));
+        };
+        let known = self.raft.metrics().borrow().current_leader;
+        let left = if known.is_some() { left } else { left.min(TRY) };
+        tokio::select! {
+            reply = self.links.call(to, call, left) => {
+                reply.map_err(|error| format!("the leader {} at {to}: {error}", leader.head))
+            }
+            () = self.moved(known), if known.is_some() => Err("the leader has just changed".into()),
+        }
+    }
+
+    /// Makes a change, wherever the leader is. Settled means synced at a majority of the keepers. Tries again
+    /// carry the same key, so that one whose answer was lost still happens once.
+    pub async fn change(&self, change: Change) -> Result<Outcome, Unsettled> {
+        if self.links.own().origin.is_none() {
+            return Err(Unsettled("this head is in no fleet yet: sedgerun fleet begin".into()));
+        }
+        let begun = Instant::now();
+        let mut why = "no leader is known".to_owned();
+        let mut elsewhere: Option<Teller> = None;
+        while let Some(left) = CHANGE.checked_sub(begun.elapsed()).filter(|left| !left.is_zero()) {
+            if self.votes() {
+                match tokio::time::timeout(left, self.write(change.clone())).await {
+                    Ok(Ok(outcome)) => return Ok(outcome),
+                    Ok(Err(Failed::Elsewhere(_))) => {}
+                    Ok(Err(Failed::Why(what))) => why = what,
+                    Err(_) => why = late(),
+                }
+            }
+            let left = CHANGE.saturating_sub(begun.elapsed());
+            if let Some(leader) = elsewhere.take().or_else(|| self.leader()) {
+                let call = Call::Change(change.clone(), left.as_millis() as u64);
+                match self.ask_leader(&leader, &call, left).await {
+                    Ok(Reply::Changed(outcome)) => return Ok(outcome),
+                    Ok(Reply::Elsewhere(place)) => {
+                        why = format!("{} does not lead", leader.head);
+                        let other = place.map(|Place { head, address, .. }| Teller { head, address });
+                        elsewhere = other.filter(|other| other.head != leader.head);
+                    }
+                    Ok(Reply::Refused(what)) => why = what,
+                    Ok(_) => why = "the leader answers something else".into(),
+                    Err(what) => why = what,
+                }
+            }
+            tokio::time::sleep(RETRY).await;
+        }
+        Err(Unsettled(why))
+    }
+
+    /// The version that all who ask from now on must see, found by this head as leader.
+    pub async fn settled_here(&self) -> Result<u64, String> {
+        match tokio::time::timeout(CHANGE, self.raft.ensure_linearizable()).await {
+            Ok(Ok(_)) => Ok(self.machine.applied()),
+            Ok(Err(error)) => Err(error.to_string()),
+            Err(_) => Err(late()),
+        }
+    }
+
+    /// Waits until this head holds all that was settled when it was asked.
+    pub async fn latest(&self) -> Result<u64, Unsettled> {
+        let begun = Instant::now();
+        let mut why = "no leader is known".to_owned();
+        while let Some(left) = CHANGE.checked_sub(begun.elapsed()).filter(|left| !left.is_zero()) {
+            if self.votes() {
+                match self.settled_here().await {
+                    Ok(version) => return Ok(version),
+                    Err(what) => why = what,
+                }
+            }
+            if let Some(leader) = self.leader() {
+                match self.ask_leader(&leader, &Call::Latest, left).await {
+                    Ok(Reply::Latest(version)) => {
+                        return self.at_least(version, CHANGE.saturating_sub(begun.elapsed())).await;
+                    }
+                    Ok(Reply::Refused(what)) => why = what,
+                    Ok(_) => why = "the leader answers something else".into(),
+                    Err(what) => why = what,
+                }
+            }
+            tokio::time::sleep(RETRY).await;
+        }
+        Err(Unsettled(why))
+    }
+
+    /// Waits until this head holds a version.
+    pub async fn at_least(&self, version: u64, within: Duration) -> Result<u64, Unsettled> {
+        let mut versions = self.machine.version();
+        let reached = tokio::time::timeout(within, versions.wait_for(|held| *held >= version)).await;
+        match reached {
+            Ok(Ok(held)) => Ok(*held),
+            _ => {
+                let held = self.machine.look(|view| view.version);
+                Err(Unsettled(format!("this head holds version {held}, not {version}")))
+            }
+        }
+    }
+}
--- a/crates/head/src/fleet/disk.rs
+++ b/crates/head/src/fleet/disk.rs
@@ -9,9 +9,11 @@
 use sedgerun_fleet::greeting::StoreId;
 use sedgerun_fleet::memory::{Mark, Memory};
 use sedgerun_fleet::record::{self, Kind};
+use sedgerun_fleet::view::View;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
+use std::fmt::Display;
 use std::io::{self, Read};
 use std::path::Path;
 use std::sync::Arc;
@@ -57,6 +59,8 @@
     pub memory: Memory,
     /// The last snapshot and its state.
     pub snapshot: Option<(SnapshotMeta, Vec<u8>)>,
+    /// What it held as a follower.
+    pub followed: View,
 }
 
 impl Held {
@@ -100,25 +104,34 @@
     pub syncs: Arc<Syncs>,
 }
 
+fn place(folder: &Path, what: impl Display) -> String {
+    format!("{}: {what}", folder.join(FILE).display())
+}
+
+/// Opens the file in a folder, or makes it, and reads all that it holds. An error names file and place.
+pub fn database(folder: &Path) -> Result<(Database, Held), String> {
+    let database = Database::builder().set_cache_size(CACHE).create(folder.join(FILE));
+    let database = database.map_err(|error| place(folder, error))?;
+    let held = read(&database).map_err(|what| place(folder, what))?;
+    Ok((database, held))
+}
+
 /// Opens the store in a folder, or makes it, and begins its next life. An error names file and place.
 pub fn open(folder: &Path) -> Result<(Disk, Held), String> {
-    let path = folder.join(FILE);
-    let at = |what: String| format!("{}: {what}", path.display());
     std::fs::create_dir_all(folder).map_err(|error| format!("{}: {error}", folder.display()))?;
-    let database = Database::builder().set_cache_size(CACHE).create(&path);
-    let database = database.map_err(|error| at(error.to_string()))?;
-    let mut held = read(&database).map_err(at)?;
+    let (database, mut held) = database(folder)?;
+    let at = |error: &dyn Display| place(folder, error);
     held.identity.life += 1;
-    let identity = record::seal(Kind::Identity, &held.identity).map_err(|error| at(error.to_string()))?;
+    let identity = record::seal(Kind::Identity, &held.identity).map_err(|error| at(&error))?;
     let begin = Job::Put("identity", identity, oneshot::channel().0);
-    write(&database, &[begin]).map_err(|error| at(error.to_string()))?;
-    sync_folder(folder).map_err(|error| at(error.to_string()))?;
+    write(&database, &[begin]).map_err(|error| at(&error))?;
+    sync_folder(folder).map_err(|error| at(&error))?;
     let (jobs, waiting) = mpsc::channel(MOST_WAITING);
     let syncs = Arc::new(Syncs::default());
-    let (times, place) = (Arc::clone(&syncs), path.clone());
+    let (times, path) = (Arc::clone(&syncs), folder.join(FILE));
     let thread = std::thread::Builder::new().name("fleet-disk".into());
-    let spawned = thread.spawn(move || run(&database, &place, waiting, &times));
-    spawned.map_err(|error| at(format!("no thread: {error}")))?;
+    let spawned = thread.spawn(move || run(&database, &path, waiting, &times));
+    spawned.map_err(|error| at(&format!("no thread: {error}")))?;
     Ok((Disk { jobs, syncs }, held))
 }
 
@@ -176,6 +189,7 @@
         log,
         memory: opened(Kind::Memory, "memory", bytes("memory")?)?.unwrap_or_default(),
         snapshot,
+        followed: opened(Kind::View, "view", bytes("view")?)?.unwrap_or_default(),
     })
 }
 
@@ -255,10 +269,37 @@
             }
         }
     }
+    point("before the sync");
     begin.commit()?;
+    point("after the sync");
     Ok(())
 }
 
+/// Puts these records in the place of all that a store holds, at once.
+pub fn replace(database: &Database, records: &[(&str, Vec<u8>)]) -> Result<(), String> {
+    let replaced = || -> Result<(), redb::Error> {
+        let mut begin = database.begin_write()?;
+        begin.set_quick_repair(true);
+        {
+            let (mut meta, mut log) = (begin.open_table(META)?, begin.open_table(LOG)?);
+            meta.retain(|_, _| false)?;
+            log.retain(|_, _| false)?;
+            for (name, bytes) in records {
+                meta.insert(*name, bytes.as_slice())?;
+            }
+        }
+        begin.commit()?;
+        Ok(())
+    };
+    replaced().map_err(|error| error.to_string())
+}
+
+/// A place at which tests kill the process; nothing of it is in a build for service.
+fn point(name: &str) {
+    let _ = name;
+    fail::fail_point!(name, |_| std::process::abort());
+}
+
 impl Disk {
     async fn settle(&self, job: impl FnOnce(Done) -> Job) -> Result<(), String> {
         let (done, settled) = oneshot::channel();
--- a/crates/head/src/fleet/link.rs
+++ b/crates/head/src/fleet/link.rs
@@ -1,6 +1,7 @@
 //! Connections to other heads: frames of a length and a record, a greeting first, then a call and its answer at
 //! a time.
 
+use super::clock::now;
 use super::types::{Call, Place, Raft, Reply, Types, address};
 use openraft::error::{InstallSnapshotError, NetworkError, RPCError, RaftError, RemoteError, Unreachable};
 use openraft::network::RPCOption;
@@ -9,6 +10,7 @@
     VoteRequest, VoteResponse,
 };
 use openraft::{RaftNetwork, RaftNetworkFactory};
+use sedgerun_fleet::election::Millis;
 use sedgerun_fleet::greeting::{Greeting, Refusal, StoreId, admit};
 use sedgerun_fleet::memory::{Life, Mark, Memory};
 use sedgerun_fleet::record::{self, Kind};
@@ -68,13 +70,24 @@
     memory: Mutex<Memory>,
     /// Another head has said that this one is an older copy of its disk.
     old: AtomicBool,
+    /// When each keeper last answered a call of the protocol.
+    heard: Mutex<BTreeMap<StoreId, Millis>>,
 }
 
 impl Links {
     /// Links of a head that says this of itself, and reaches heads by name at these addresses.
     pub fn new(own: Greeting, routes: BTreeMap<String, SocketAddr>, memory: Memory) -> Links {
         let (own, memory, old) = (Mutex::new(own), Mutex::new(memory), AtomicBool::default());
-        Links(Arc::new(Inner { own, routes, idle: Mutex::default(), memory, old }))
+        Links(Arc::new(Inner { own, routes, idle: Mutex::default(), memory, old, heard: Mutex::default() }))
+    }
+
+    /// When a keeper last answered a call of the protocol.
+    pub fn heard(&self, store: StoreId) -> Option<Millis> {
+        self.0.heard.lock().unwrap_or_else(PoisonError::into_inner).get(&store).copied()
+    }
+
+    fn note_heard(&self, store: StoreId) {
+        self.0.heard.lock().unwrap_or_else(PoisonError::into_inner).insert(store, now());
     }
 
     /// What this head says of itself.
@@ -108,9 +121,9 @@
         if older { Err(Refusal::Older) } else { Ok(()) }
     }
 
-    /// Where this head calls a keeper: its own settings come first.
-    pub fn route(&self, place: &Place) -> Option<SocketAddr> {
-        self.0.routes.get(&place.head).copied().or_else(|| address(&place.address))
+    /// Where this head calls another: its own settings come first.
+    pub fn route(&self, head: &str, told: &str) -> Option<SocketAddr> {
+        self.0.routes.get(head).copied().or_else(|| address(told))
     }
 
     /// A fresh connection, and what the other end says of itself.
@@ -185,6 +198,7 @@
             send(&mut stream, Kind::Call, call).await?;
             let reply = receive(&mut stream, Kind::Reply).await?;
             self.stream = Some(stream);
+            self.links.note_heard(self.target);
             Ok(reply)
         };
         let within = option.hard_ttl();
@@ -269,7 +283,8 @@
     type Network = Way;
 
     async fn new_client(&mut self, target: StoreId, node: &Place) -> Way {
-        Way { links: self.clone(), target, to: self.route(node), stream: None, life: Life::default() }
+        let to = self.route(&node.head, &node.address);
+        Way { links: self.clone(), target, to, stream: None, life: Life::default() }
     }
 }
 
--- a/crates/head/src/fleet/log.rs
+++ b/crates/head/src/fleet/log.rs
@@ -42,6 +42,12 @@
         Log { disk, inner: Arc::new(Mutex::new(Inner { entries, purged, vote, committed })) }
     }
 
+    /// Its last entry, or the last that a snapshot replaced.
+    pub fn last(&self) -> Option<LogId> {
+        let inner = self.lock();
+        inner.entries.values().next_back().map(|entry| entry.log_id).or(inner.purged)
+    }
+
     fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -60,9 +66,8 @@
     type LogReader = Log;
 
     async fn get_log_state(&mut self) -> Result<LogState<Types>, StorageError> {
-        let inner = self.lock();
-        let last = inner.entries.values().next_back().map(|entry| entry.log_id).or(inner.purged);
-        Ok(LogState { last_purged_log_id: inner.purged, last_log_id: last })
+        let last_log_id = self.last();
+        Ok(LogState { last_purged_log_id: self.lock().purged, last_log_id })
     }
 
     async fn get_log_reader(&mut self) -> Log {
--- a/crates/head/src/fleet/machine.rs
+++ b/crates/head/src/fleet/machine.rs
@@ -8,6 +8,7 @@
 use openraft::{EntryPayload, ErrorVerb, OptionalSend, RaftSnapshotBuilder, Snapshot};
 use sedgerun_fleet::record::{self, Kind};
 use sedgerun_fleet::state::{Outcome, State};
+use sedgerun_fleet::view::View;
 use std::collections::BTreeMap;
 use std::io::Cursor;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -22,13 +23,46 @@
 }
 
 struct Inner {
+    /// What this head applies as a keeper.
     state: State,
+    /// What it was told as a follower, where that is newer.
+    followed: View,
     applied: Option<LogId>,
     membership: Membership,
     snapshot: Option<(SnapshotMeta, Arc<Vec<u8>>)>,
 }
 
 impl Inner {
+    /// The newer of the two: both are of one history.
+    fn view(&self) -> &View {
+        if self.followed.version > self.state.view.version { &self.followed } else { &self.state.view }
+    }
+
+    /// The state of a snapshot, or an empty one, and on top of it the entries up to a position.
+    fn replay(
+        snapshot: Option<(SnapshotMeta, Vec<u8>)>,
+        log: &BTreeMap<u64, Entry>,
+        upto: u64,
+    ) -> Result<Inner, String> {
+        let mut inner = Inner {
+            state: State::default(),
+            followed: View::default(),
+            applied: None,
+            membership: Membership::default(),
+            snapshot: None,
+        };
+        if let Some((head, bytes)) = snapshot {
+            inner.state = read(&bytes)?;
+            (inner.applied, inner.membership) = (head.last_log_id, head.last_membership.clone());
+            inner.snapshot = Some((head, Arc::new(bytes)));
+        }
+        let from = inner.applied.map_or(0, |applied| applied.index + 1);
+        if from <= upto {
+            log.range(from..=upto).for_each(|(_, entry)| drop(inner.apply(entry.clone())));
+        }
+        Ok(inner)
+    }
+
     fn apply(&mut self, entry: Entry) -> Option<Outcome> {
         self.applied = Some(entry.log_id);
         match entry.payload {
@@ -49,25 +83,12 @@
         snapshot: Option<(SnapshotMeta, Vec<u8>)>,
         log: &BTreeMap<u64, Entry>,
         committed: Option<LogId>,
+        followed: View,
     ) -> Result<Machine, String> {
-        let mut inner = Inner {
-            state: State::default(),
-            applied: None,
-            membership: Membership::default(),
-            snapshot: None,
-        };
-        if let Some((head, bytes)) = snapshot {
-            inner.state = read(&bytes)?;
-            (inner.applied, inner.membership) = (head.last_log_id, head.last_membership.clone());
-            inner.snapshot = Some((head, Arc::new(bytes)));
-        }
         // Done here, so that the front has them before it serves.
-        if let Some(committed) = committed {
-            let from = inner.applied.map_or(0, |applied| applied.index + 1);
-            let settled = log.range(from..).take_while(|(index, _)| **index <= committed.index);
-            settled.for_each(|(_, entry)| drop(inner.apply(entry.clone())));
-        }
-        let version = Arc::new(watch::Sender::new(inner.state.version));
+        let mut inner = Inner::replay(snapshot, log, committed.map_or(0, |at| at.index))?;
+        inner.followed = followed;
+        let version = Arc::new(watch::Sender::new(inner.view().version));
         Ok(Machine { disk, inner: Arc::new(Mutex::new(inner)), version })
     }
 
@@ -75,9 +96,46 @@
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Looks at the state; the look must be short.
-    pub fn look<T>(&self, look: impl FnOnce(&State) -> T) -> T {
-        look(&self.lock().state)
+    /// Looks at what this head holds; the look must be short.
+    pub fn look<T>(&self, look: impl FnOnce(&View) -> T) -> T {
+        look(self.lock().view())
+    }
+
+    /// The version that this head has applied as a keeper.
+    pub fn applied(&self) -> u64 {
+        self.lock().state.view.version
+    }
+
+    /// Takes news that this head hears as a follower.
+    pub fn hear<T>(&self, hear: impl FnOnce(&mut View) -> T) -> T {
+        let heard = {
+            let mut inner = self.lock();
+            // What it has applied as a keeper may be newer; then the news goes on top of that.
+            if inner.followed.version < inner.state.view.version {
+                inner.followed = inner.state.view.clone();
+            }
+            hear(&mut inner.followed)
+        };
+        self.publish();
+        heard
+    }
+
+    /// What this head has heard as a follower, where that is newer than what it has applied.
+    pub fn followed(&self) -> Option<View> {
+        let inner = self.lock();
+        (inner.followed.version > inner.state.view.version).then(|| inner.followed.clone())
+    }
+
+    /// The version of that; 0 for none.
+    pub fn followed_version(&self) -> u64 {
+        self.lock().followed.version
+    }
+
+    /// What was heard as a follower is not needed beside a newer state of its own.
+    fn forget_followed(inner: &mut Inner) {
+        if inner.followed.version > 0 && inner.followed.version <= inner.state.view.version {
+            inner.followed = View::default();
+        }
     }
 
     /// Who keeps, as last applied.
@@ -91,11 +149,20 @@
     }
 
     fn publish(&self) {
-        let version = self.lock().state.version;
+        let version = self.lock().view().version;
         self.version.send_if_modified(|known| std::mem::replace(known, version) != version);
     }
 }
 
+/// The state of a snapshot, or an empty one, and on top of it the entries up to a position.
+pub fn replay(
+    snapshot: Option<(SnapshotMeta, Vec<u8>)>,
+    log: &BTreeMap<u64, Entry>,
+    upto: u64,
+) -> Result<State, String> {
+    Ok(Inner::replay(snapshot, log, upto)?.state)
+}
+
 fn read(bytes: &[u8]) -> Result<State, String> {
     record::open(Kind::Snapshot, bytes).map_err(|spoilt| format!("state of a snapshot: {spoilt}"))
 }
@@ -137,7 +204,9 @@
     {
         let answers = {
             let mut inner = self.lock();
-            entries.into_iter().map(|entry| inner.apply(entry)).collect()
+            let answers = entries.into_iter().map(|entry| inner.apply(entry)).collect();
+            Machine::forget_followed(&mut inner);
+            answers
         };
         self.publish();
         Ok(answers)
@@ -165,6 +234,7 @@
             (inner.state, inner.applied) = (state, meta.last_log_id);
             inner.membership = meta.last_membership.clone();
             inner.snapshot = Some((meta.clone(), Arc::new(bytes)));
+            Machine::forget_followed(&mut inner);
         }
         self.publish();
         Ok(())
--- a/crates/head/src/fleet/mod.rs
+++ b/crates/head/src/fleet/mod.rs
@@ -2,21 +2,29 @@
 //! decisions of `sedgerun_fleet`. All of it runs on threads of its own, beside the one that serves.
 
 mod api;
+mod change;
+mod clock;
 mod disk;
+mod follow;
 mod keeper;
 mod link;
 mod log;
 mod machine;
+mod mend;
+pub mod recover;
 mod serve;
 pub mod settings;
 pub mod tell;
 mod types;
+mod wake;
 
 use crate::config::Config;
+use crate::hub::Hub;
 use crate::tenants::{Export, Registry};
 use keeper::Keeper;
 pub use keeper::Unsettled;
-use sedgerun_fleet::state::{Change, Command, Fields, Outcome, Tenant};
+use sedgerun_fleet::state::{Change, Command, Outcome};
+use sedgerun_fleet::view::{Fields, Tenant};
 use sedgerun_settings::Pairs;
 use settings::Settings;
 use std::cell::RefCell;
@@ -48,9 +56,9 @@
         let bound = std::net::TcpListener::bind(settings.listen)
             .and_then(|listener| listener.set_nonblocking(true).map(|()| listener))
             .map_err(|error| format!("fleet.listen: cannot bind {}: {error}", settings.listen))?;
-        if let Ok(at) = bound.local_addr() {
-            tracing::info!("fleet.listen: {at}");
-        }
+        let at = bound.local_addr().map_err(|error| format!("fleet.listen: {error}"))?;
+        tracing::info!("fleet.listen: {at}");
+        let address = settings.address.unwrap_or(at);
         let (started, starting) = std::sync::mpsc::channel();
         let (settings, name) = (settings.clone(), head.to_owned());
         let run = move || {
@@ -62,7 +70,7 @@
             runtime.block_on(async {
                 let listener = tokio::net::TcpListener::from_std(bound).map_err(|error| error.to_string());
                 let keeper = match listener {
-                    Ok(listener) => Keeper::start(settings, &name, disk, held)
+                    Ok(listener) => Keeper::start(settings, &name, address, disk, held)
                         .await
                         .map(|keeper| (Arc::new(keeper), listener)),
                     Err(what) => Err(what),
@@ -70,12 +78,7 @@
                 match keeper {
                     Ok((keeper, listener)) => {
                         let _ = started.send(Ok((Handle::current(), Arc::clone(&keeper))));
-                        tokio::spawn(watch_role(Arc::clone(&keeper)));
-                        let waking = Arc::clone(&keeper);
-                        tokio::spawn(async move {
-                            waking.wake().await;
-                            waking.remember().await;
-                        });
+                        live(&keeper);
                         serve::serve(keeper, listener).await;
                     }
                     Err(what) => drop(started.send(Err(what))),
@@ -101,6 +104,12 @@
         Ok(settled)
     }
 
+    /// Bans a brick at all heads, or lifts that ban.
+    pub async fn ban(&self, brick: &str, banned: bool) -> Result<Outcome, Unsettled> {
+        let command = Command::Ban { brick: brick.to_owned(), banned };
+        self.change(change(None, None, command).map_err(Unsettled)?).await
+    }
+
     /// Waits until the front works with all that was settled when it was asked; the version.
     pub async fn latest(&self) -> Result<u64, Unsettled> {
         let keeper = Arc::clone(&self.keeper);
@@ -122,7 +131,32 @@
 
     /// The version at which a tenant was last changed; 0 for none there.
     pub fn tenant_version(&self, tenant: &str) -> u64 {
-        self.keeper.machine.look(|state| state.tenants.get(tenant).map_or(0, |tenant| tenant.version))
+        self.keeper.machine.look(|view| view.tenants.get(tenant).map_or(0, |tenant| tenant.version))
+    }
+
+    /// The bricks that are banned at all heads, each with the version since when.
+    pub fn bans(&self) -> BTreeMap<String, u64> {
+        self.keeper.machine.look(|view| view.bans.clone())
+    }
+
+    /// How this head stands, as pairs of a name and a figure.
+    pub fn figures(&self) -> Vec<(&'static str, u64)> {
+        let status = self.keeper.status();
+        let lag = status.age.unwrap_or(u64::MAX);
+        vec![
+            ("fleet_term", status.term),
+            ("fleet_is_leader", u64::from(status.role == "leader")),
+            ("fleet_is_keeper", u64::from(self.keeper.votes())),
+            ("fleet_stopped", u64::from(status.role == "stopped")),
+            ("fleet_version", status.version),
+            ("fleet_age_milliseconds", lag),
+            ("fleet_followers", status.followers.len() as u64),
+            ("fleet_syncs", status.syncs.0),
+            ("fleet_sync_longest_microseconds", status.syncs.1),
+            ("fleet_sync_mean_microseconds", status.syncs.2),
+            ("fleet_repairs", status.repairs),
+            ("fleet_frames_refused", status.refused),
+        ]
     }
 
     async fn on_fleet<T: Send + 'static>(
@@ -144,20 +178,25 @@
 
     /// Brings what the fleet holds to this head's front for as long as it is polled. It begins with what the
     /// store held at the start, whether or not a majority is there.
-    pub async fn follow(self: Rc<Self>, config: Rc<Config>, tenants: Rc<RefCell<Registry>>) {
+    pub async fn follow(self: Rc<Self>, config: Rc<Config>, tenants: Rc<RefCell<Registry>>, hub: Rc<Hub>) {
         let mut versions = self.keeper.machine.version();
         let mut held: BTreeMap<String, u64> = BTreeMap::new();
+        let mut banned: BTreeMap<String, u64> = BTreeMap::new();
         loop {
             versions.borrow_and_update();
-            let (version, changed, gone) = self.keeper.machine.look(|state| {
-                let differs =
-                    |name: &&String| held.get(*name) != state.tenants.get(*name).map(|t| &t.version);
-                let changed = state.tenants.keys().filter(differs);
+            let (version, changed, gone, bans) = self.keeper.machine.look(|view| {
+                let differs = |(name, tenant): &(&String, &Tenant)| held.get(*name) != Some(&tenant.version);
+                let changed = view.tenants.iter().filter(differs);
                 let changed: Vec<(String, Tenant)> =
-                    changed.map(|name| (name.clone(), state.tenants[name].clone())).collect();
-                let gone = held.keys().filter(|name| !state.tenants.contains_key(*name));
-                (state.version, changed, gone.cloned().collect::<Vec<String>>())
+                    changed.map(|(name, tenant)| (name.clone(), tenant.clone())).collect();
+                let gone = held.keys().filter(|name| !view.tenants.contains_key(*name));
+                let bans = (view.bans != banned).then(|| view.bans.clone());
+                (view.version, changed, gone.cloned().collect::<Vec<String>>(), bans)
             });
+            if let Some(bans) = bans {
+                hub.ban_for_all(bans.keys());
+                banned = bans;
+            }
             {
                 let mut registry = tenants.borrow_mut();
                 for name in gone.iter().chain(changed.iter().map(|(name, _)| name)) {
@@ -177,6 +216,23 @@
     }
 }
 
+/// Begins all that a head does by itself for its fleet.
+fn live(keeper: &Arc<Keeper>) {
+    tokio::spawn(watch_role(Arc::clone(keeper)));
+    tokio::spawn(Arc::clone(keeper).stand());
+    let waking = Arc::clone(keeper);
+    tokio::spawn(async move {
+        waking.wake().await;
+        waking.remember().await;
+    });
+    let following = Arc::clone(keeper);
+    tokio::spawn(async move { following.follow().await });
+    let keeping = Arc::clone(keeper);
+    tokio::spawn(async move { keeping.keep_followed().await });
+    let mending = Arc::clone(keeper);
+    tokio::spawn(async move { mending.mend().await });
+}
+
 /// Puts a tenant in place as far as this head's settings know what its exports name.
 fn put(registry: &mut Registry, config: &Config, name: &str, tenant: &Tenant) {
     registry.open(name);
@@ -204,7 +260,7 @@
     let mut metrics = keeper.raft.metrics();
     let mut said = (String::new(), 0, None);
     loop {
-        let status = keeper.status().await;
+        let status = keeper.status();
         let now = (status.role, status.term, status.leader);
         if now != said {
             let leader = now.2.as_deref().unwrap_or("nobody");
@@ -232,5 +288,5 @@
 
 /// Where the command line finds this head: its own address as others know it, or where it listens.
 pub fn own_address(settings: &Settings, head: &str) -> SocketAddr {
-    settings.keepers.get(head).copied().unwrap_or(settings.listen)
+    settings.routes().get(head).copied().or(settings.address).unwrap_or(settings.listen)
 }
--- a/crates/head/src/fleet/settings.rs
+++ b/crates/head/src/fleet/settings.rs
@@ -18,11 +18,26 @@
     pub dir: PathBuf,
     /// The keepers by name, each with the address at which this head calls it.
     pub keepers: BTreeMap<String, SocketAddr>,
+    /// Further heads by name, where this head calls them at other addresses than they say themselves.
+    pub heads: BTreeMap<String, SocketAddr>,
+    /// Where others call this head; where it listens, if left out.
+    pub address: Option<SocketAddr>,
+    /// The zone that this head is in.
+    pub zone: Option<String>,
 }
 
 impl Settings {
     /// The keys of the form.
-    pub const KEYS: [&str; 5] = ["fleet.name", "fleet.secret", "fleet.listen", "fleet.dir", "fleet.keepers"];
+    pub const KEYS: [&str; 8] = [
+        "fleet.name",
+        "fleet.secret",
+        "fleet.listen",
+        "fleet.dir",
+        "fleet.keepers",
+        "fleet.heads",
+        "fleet.address",
+        "fleet.zone",
+    ];
 
     /// Reads the form, where it is there; faults stay with the pairs.
     pub fn read(pairs: &Pairs) -> Option<Settings> {
@@ -43,19 +58,31 @@
         if !secret.is_empty() && secret.len() < 16 {
             pairs.fault("fleet.secret", "setting fleet.secret is shorter than 16 characters");
         }
-        let mut keepers = BTreeMap::new();
-        let named = pairs.required("fleet.keepers");
-        for keeper in named.split(',').filter(|keeper| !keeper.is_empty()) {
-            match keeper.trim().split_once('=').map(|(name, at)| (name, at.parse())) {
-                Some((name, Ok(at))) if !name.is_empty() => {
-                    if keepers.insert(name.to_owned(), at).is_some() {
-                        pairs.fault("fleet.keepers", format!("setting fleet.keepers names {name} twice"));
+        let named = |key: &str, text: &str| {
+            let mut heads = BTreeMap::new();
+            for head in text.split(',').filter(|head| !head.is_empty()) {
+                match head.trim().split_once('=').map(|(name, at)| (name, at.parse())) {
+                    Some((name, Ok(at))) if !name.is_empty() => {
+                        if heads.insert(name.to_owned(), at).is_some() {
+                            pairs.fault(key, format!("setting {key} names {name} twice"));
+                        }
                     }
+                    _ => malformed(key, head),
                 }
-                _ => malformed("fleet.keepers", keeper),
             }
-        }
-        if !named.is_empty() && keepers.len().is_multiple_of(2) {
+            heads
+        };
+        let keepers_text = pairs.required("fleet.keepers");
+        let keepers = named("fleet.keepers", keepers_text);
+        let heads = named("fleet.heads", pairs.text("fleet.heads").unwrap_or_default());
+        let address = pairs.text("fleet.address").and_then(|text| {
+            let read = text.parse().ok();
+            if read.is_none() {
+                malformed("fleet.address", text);
+            }
+            read
+        });
+        if !keepers_text.is_empty() && keepers.len().is_multiple_of(2) {
             let what = format!("setting fleet.keepers names {}: an odd number keeps", keepers.len());
             pairs.fault("fleet.keepers", what);
         }
@@ -72,6 +99,14 @@
             listen,
             dir: PathBuf::from(pairs.required("fleet.dir")),
             keepers,
+            heads,
+            address,
+            zone: pairs.text("fleet.zone").filter(|zone| !zone.is_empty()).map(str::to_owned),
         })
     }
+
+    /// Where this head calls others, by their names.
+    pub fn routes(&self) -> BTreeMap<String, SocketAddr> {
+        self.heads.iter().chain(&self.keepers).map(|(head, at)| (head.clone(), *at)).collect()
+    }
 }
--- a/crates/head/src/fleet/tell.rs
+++ b/crates/head/src/fleet/tell.rs
@@ -1,29 +1,47 @@
 //! `sedgerun fleet ...`: what the command line asks of the heads of a fleet.
 
+use super::disk::random;
 use super::link::Links;
-use super::own_address;
 use super::settings::Settings;
-use super::types::{Call, Reply, Status};
+use super::types::{Call, Known, Reply, Status};
+use super::{change, own_address};
+use futures_util::future::join_all;
 use sedgerun_fleet::greeting::Greeting;
 use sedgerun_fleet::memory::{Life, Mark, Memory};
+use sedgerun_fleet::record::{self, Kind};
+use sedgerun_fleet::state::{Command, Outcome};
+use sedgerun_fleet::view::{Behind, Gathering, Item, View};
+use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
-use std::fmt::Write;
+use std::fmt::Write as _;
+use std::io::Write as _;
+use std::path::Path;
 use std::time::Duration;
 
 /// Time that one head has for its answer.
 const WITHIN: Duration = Duration::from_secs(2);
 
+/// What lies in a backup.
+#[derive(Serialize, Deserialize)]
+struct Backup {
+    fleet: String,
+    version: u64,
+    items: Vec<Item>,
+}
+
 fn links(settings: &Settings, head: &str) -> Links {
     let own = Greeting {
         fleet: settings.name.clone(),
         secret: settings.secret.clone(),
         head: head.to_owned(),
         store: None,
+        zone: None,
+        address: String::new(),
         life: Life::default(),
         woke: Mark::default(),
         origin: None,
     };
-    Links::new(own, settings.keepers.clone(), Memory::default())
+    Links::new(own, settings.routes(), Memory::default())
 }
 
 fn block_on<T>(work: impl Future<Output = T>) -> Result<T, String> {
@@ -31,6 +49,102 @@
     Ok(runtime.map_err(|error| format!("no runtime: {error}"))?.block_on(work))
 }
 
+/// Makes a change at whichever keeper answers; what was done, at which version.
+pub fn make(settings: &Settings, head: &str, command: Command) -> Result<u64, String> {
+    // One key for all tries: however often it is asked, it happens once.
+    let key = format!("line {:016x}", random()?);
+    let asked = change(Some(&key), None, command)?;
+    let links = links(settings, head);
+    block_on(async {
+        let mut why = Vec::new();
+        for (name, at) in &settings.keepers {
+            match links.call(*at, &Call::Make(asked.clone()), WITHIN).await {
+                Ok(Reply::Changed(Outcome::Done { version, .. })) => return Ok(version),
+                Ok(Reply::Changed(Outcome::Missing(what) | Outcome::Conflict(what))) => return Err(what),
+                Ok(Reply::Changed(other)) => return Err(format!("{other:?}")),
+                Ok(Reply::Refused(what)) => why.push(format!("{name}: {what}")),
+                Ok(_) => why.push(format!("{name}: an answer to something else")),
+                Err(error) => why.push(format!("{name}: {error}")),
+            }
+        }
+        Err(format!("not settled, and may still happen: {}", why.join("; ")))
+    })?
+}
+
+/// Gives up the store that keeps under a head's name: another takes its place at once.
+pub fn replace(settings: &Settings, head: &str, lost: &str) -> Result<u64, String> {
+    let asked = ask_all(settings, head)?;
+    let leader = asked.iter().filter_map(|(_, said)| said.as_ref().ok()).find(|said| said.role == "leader");
+    let leader = leader.ok_or("no leader answers")?;
+    let keeper = leader.keepers.iter().find(|keeper| keeper.votes && keeper.head == lost);
+    let store = keeper.ok_or(format!("{lost} does not keep"))?.store;
+    make(settings, head, Command::GiveUp(store))
+}
+
+/// Writes all that the fleet holds to a file, as settled when it was asked.
+pub fn backup(settings: &Settings, head: &str, file: &Path) -> Result<String, String> {
+    let links = links(settings, head);
+    let view = block_on(async {
+        let mut why = Vec::new();
+        for (name, at) in &settings.keepers {
+            match gather(&links, *at).await {
+                Ok(view) => return Ok(view),
+                Err(what) => why.push(format!("{name}: {what}")),
+            }
+        }
+        Err(why.join("; "))
+    })??;
+    let backup =
+        Backup { fleet: settings.name.clone(), version: view.version, items: view.items().collect() };
+    let bytes = record::seal(Kind::Backup, &backup).map_err(|error| error.to_string())?;
+    let failed = |error: std::io::Error| format!("{}: {error}", file.display());
+    // Guards against half a backup under the name of a whole one.
+    let part = file.with_extension("part");
+    let written = std::fs::File::create(&part).and_then(|mut out| {
+        out.write_all(&bytes)?;
+        out.sync_all()?;
+        std::fs::rename(&part, file)
+    });
+    written.map_err(failed)?;
+    Ok(format!(
+        "version {} with {} tenants and {} bans is in {}\n",
+        view.version,
+        view.tenants.len(),
+        view.bans.len(),
+        file.display()
+    ))
+}
+
+/// All that the leader holds; an error at heads that do not lead.
+async fn gather(links: &Links, at: std::net::SocketAddr) -> Result<View, String> {
+    let latest = match links.call(at, &Call::Latest, WITHIN).await.map_err(|error| error.to_string())? {
+        Reply::Latest(version) => version,
+        Reply::Refused(what) => return Err(what),
+        _ => return Err("an answer to something else".into()),
+    };
+    let (mut view, mut gathering) = (View::default(), Gathering::default());
+    while view.version < latest {
+        let (since, begun) = gathering.ask(&view);
+        let reply =
+            links.call(at, &Call::Piece(since, begun), WITHIN).await.map_err(|error| error.to_string())?;
+        let Reply::Piece(piece) = reply else { return Err("an answer to something else".into()) };
+        gathering.take(&mut view, piece).map_err(|Behind| "it has gone back")?;
+    }
+    Ok(view)
+}
+
+/// Puts a backup into a fleet that holds nothing.
+pub fn restore(settings: &Settings, head: &str, file: &Path) -> Result<String, String> {
+    let bytes = std::fs::read(file).map_err(|error| format!("{}: {error}", file.display()))?;
+    let backup: Backup =
+        record::open(Kind::Backup, &bytes).map_err(|spoilt| format!("{}: {spoilt}", file.display()))?;
+    let version = make(settings, head, Command::Restore(backup.items))?;
+    Ok(format!(
+        "version {} of fleet {} is in this fleet as version {version}\n",
+        backup.version, backup.fleet
+    ))
+}
+
 /// Begins the fleet at this head with the keepers of its settings.
 pub fn begin(settings: &Settings, head: &str) -> Result<String, String> {
     let at = own_address(settings, head);
@@ -44,48 +158,96 @@
     }
 }
 
-/// How all keepers of the settings stand, as a table or as JSON; an error where none answers.
-pub fn status(settings: &Settings, head: &str, as_json: bool) -> Result<String, String> {
+type Answers = Vec<(String, Result<Status, String>)>;
+
+/// How the keepers of the settings and those that have taken their places stand, all asked at once; an error
+/// where none answers.
+fn ask_all(settings: &Settings, head: &str) -> Result<Answers, String> {
     let links = links(settings, head);
-    let asked = block_on(async {
-        let mut asked: Vec<(String, Result<Status, String>)> = Vec::new();
-        for (name, at) in &settings.keepers {
-            let said = match links.call(*at, &Call::Status, WITHIN).await {
+    let ask = async |name: String, at: Option<std::net::SocketAddr>| {
+        let said = match at {
+            None => Err("no address".into()),
+            Some(at) => match links.call(at, &Call::Status, WITHIN).await {
                 Ok(Reply::Status(status)) => Ok(*status),
                 Ok(Reply::Refused(why)) => Err(why),
                 Ok(_) => Err("an answer to something else".into()),
                 Err(error) => Err(error.to_string()),
-            };
-            asked.push((name.clone(), said));
-        }
+            },
+        };
+        (name, said)
+    };
+    let asked = block_on(async {
+        // The head whose settings these are is asked, too, as it sees itself.
+        let mut first = settings.keepers.clone();
+        first.entry(head.to_owned()).or_insert_with(|| own_address(settings, head));
+        let first = first.into_iter().map(|(name, at)| ask(name, Some(at)));
+        let mut asked: Answers = join_all(first).await;
+        let said = asked.iter().filter_map(|(_, said)| said.as_ref().ok());
+        let newest = said.max_by_key(|status| (status.term, status.last));
+        let known = newest.map(|status| status.keepers.clone()).unwrap_or_default();
+        let others = known.into_iter().filter(|keeper| asked.iter().all(|(name, _)| *name != keeper.head));
+        let others: Vec<Known> = others.collect();
+        let others = others.into_iter();
+        let others = others.map(|keeper| {
+            let at = links.route(&keeper.head, &keeper.address);
+            ask(keeper.head, at)
+        });
+        asked.extend(join_all(others).await);
         asked
     })?;
     if asked.iter().all(|(_, said)| said.is_err()) {
         let all = asked.iter().filter_map(|(name, said)| Some(format!("{name}: {}", said.as_ref().err()?)));
         return Err(format!("no keeper answers: {}", all.collect::<Vec<String>>().join("; ")));
     }
+    Ok(asked)
+}
+
+/// How all heads of the fleet stand, as a table or as JSON; an error where no keeper answers.
+pub fn status(settings: &Settings, head: &str, as_json: bool) -> Result<String, String> {
+    let asked = ask_all(settings, head)?;
     Ok(if as_json { format!("{}\n", table_json(settings, &asked)) } else { table(settings, &asked) })
 }
 
-fn table_json(settings: &Settings, asked: &[(String, Result<Status, String>)]) -> Value {
+/// The heads that follow, as the keepers tell of them, each once and those with a row of their own left out.
+fn followers(asked: &Answers) -> Vec<sedgerun_fleet::follow::Hanging> {
+    let mut all = std::collections::BTreeMap::new();
+    for status in asked.iter().filter_map(|(_, said)| said.as_ref().ok()) {
+        all.extend(status.followers.iter().map(|follower| (follower.at.head.clone(), follower.clone())));
+    }
+    asked.iter().filter(|(_, said)| said.is_ok()).for_each(|(name, _)| drop(all.remove(name)));
+    all.into_values().collect()
+}
+
+fn hexadecimal(store: u64) -> Value {
+    json!(format!("{store:016x}"))
+}
+
+fn table_json(settings: &Settings, asked: &Answers) -> Value {
     let heads: Vec<Value> = asked
         .iter()
         .map(|(name, said)| match said {
             Ok(status) => {
                 let mut told = json!(status);
-                told["store"] = json!(format!("{:016x}", status.store));
-                for (known, keeper) in status.keepers.iter().zip(0..) {
-                    told["keepers"][keeper as usize]["store"] = json!(format!("{:016x}", known.store));
+                told["store"] = hexadecimal(status.store);
+                for (place, known) in status.keepers.iter().enumerate() {
+                    told["keepers"][place]["store"] = hexadecimal(known.store);
+                }
+                for (place, known) in status.followers.iter().enumerate() {
+                    told["followers"][place]["store"] = hexadecimal(known.store);
                 }
                 told
             }
             Err(why) => json!({"head": name, "role": "unreachable", "trouble": why}),
         })
         .collect();
-    json!({"fleet": settings.name, "heads": heads})
+    let followers = followers(asked).into_iter().map(|known| {
+        json!({"head": known.at.head, "role": "follower", "address": known.at.address, "zone": known.zone,
+            "version": known.version, "life": known.life, "store": hexadecimal(known.store)})
+    });
+    json!({"fleet": settings.name, "heads": heads, "followers": followers.collect::<Vec<Value>>()})
 }
 
-fn table(settings: &Settings, asked: &[(String, Result<Status, String>)]) -> String {
+fn table(settings: &Settings, asked: &Answers) -> String {
     let newest = asked.iter().filter_map(|(_, said)| said.as_ref().ok()).map(|status| status.version).max();
     let newest = newest.unwrap_or(0);
     let mut text = format!("fleet {}\n", settings.name);
@@ -102,7 +264,7 @@
                 status.role,
                 status.term,
                 status.version,
-                newest - status.version,
+                newest.saturating_sub(status.version),
                 status.last,
                 status.store,
                 status.life,
@@ -113,5 +275,19 @@
             Err(why) => writeln!(text, "{name:<12} unreachable: {why}"),
         };
     }
+    for known in followers(asked) {
+        let _ = writeln!(
+            text,
+            "{:<12} {:<10} {:>5} {:>8} {:>7} {:>8}  {:016x} {:>5}",
+            known.at.head,
+            "follower",
+            "",
+            known.version,
+            newest.saturating_sub(known.version),
+            "",
+            known.store,
+            known.life,
+        );
+    }
     text
 }
--- a/crates/head/src/fleet/types.rs
+++ b/crates/head/src/fleet/types.rs
@@ -4,8 +4,10 @@
     AppendEntriesRequest, AppendEntriesResponse, InstallSnapshotRequest, InstallSnapshotResponse,
     VoteRequest, VoteResponse,
 };
+use sedgerun_fleet::follow::{Hanging, Told};
 use sedgerun_fleet::greeting::StoreId;
 use sedgerun_fleet::state::{Change, Outcome};
+use sedgerun_fleet::view::Piece;
 use serde::{Deserialize, Serialize};
 use std::io::Cursor;
 use std::net::SocketAddr;
@@ -18,6 +20,8 @@
     pub head: String,
     /// Its address.
     pub address: String,
+    /// Its zone, where there is one.
+    pub zone: Option<String>,
 }
 
 openraft::declare_raft_types!(
@@ -62,6 +66,29 @@
     Status,
     /// Begin the fleet with the keepers of the settings.
     Begin,
+    /// Whether it hears no leader either, asked by a keeper whose log ends here.
+    Silent(Option<LogId>),
+    /// What a follower lacks.
+    Follow(Box<Lack>),
+    /// A piece of what there is: `since` and `begun`.
+    Piece(u64, u64),
+    /// Make a change, wherever the leader is; asked by the command line.
+    Make(Change),
+}
+
+/// What a follower asks for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Lack {
+    /// Who asks, and the version that it holds.
+    pub follower: Hanging,
+    /// What hangs on it, at times.
+    pub below: Option<Vec<Hanging>>,
+    /// It holds all up to here.
+    pub since: u64,
+    /// When its gathering began, as a version.
+    pub begun: u64,
+    /// How long it waits for news, in milliseconds.
+    pub wait: u64,
 }
 
 /// The answer to a [`Call`].
@@ -83,6 +110,14 @@
     Status(Box<Status>),
     /// Done.
     Begun,
+    /// This store hears no leader either, and would not stand in the way.
+    Silent(StoreId, bool),
+    /// To a follower, with the origin of the fleet.
+    Told(Option<u64>, Told),
+    /// A piece.
+    Piece(Piece),
+    /// It does not lead; this one does, as far as it knows.
+    Elsewhere(Option<Place>),
     /// Not done, for this reason.
     Refused(String),
 }
@@ -96,6 +131,8 @@
     pub store: StoreId,
     /// Where this head calls it.
     pub address: String,
+    /// Its zone, where there is one.
+    pub zone: Option<String>,
     /// It votes.
     pub votes: bool,
     /// How far it holds the log, as the leader knows.
@@ -113,7 +150,7 @@
     pub store: StoreId,
     /// Counted at each start.
     pub life: u64,
-    /// `leader`, `follower`, `candidate`, `new` (not let in) or `stopped`.
+    /// `leader`, `keeper`, `candidate`, `follower`, `new` (nothing heard yet) or `stopped`.
     pub role: String,
     /// The leader's name, as far as known.
     pub leader: Option<String>,
@@ -127,6 +164,14 @@
     pub last: u64,
     /// The keepers.
     pub keepers: Vec<Known>,
+    /// The heads that hang on it, by themselves and over others.
+    pub followers: Vec<Hanging>,
+    /// Over which heads it hears of changes, itself last.
+    pub lineage: Vec<String>,
+    /// How old what it holds may be, in milliseconds; `None` before it has heard anything.
+    pub age: Option<u64>,
+    /// Changes of keepers that it has made as leader.
+    pub repairs: u64,
     /// Writes synced since the start, and the longest and the mean time of one in microseconds.
     pub syncs: (u64, u64, u64),
     /// Frames refused since the start.
--- a/crates/head/src/head.rs
+++ b/crates/head/src/head.rs
@@ -184,8 +184,8 @@
         let tenants = Rc::new(RefCell::new(config.operator.tenants.clone()));
         let ninep = NinepFront::new(Rc::clone(&hub), Rc::clone(&config), Rc::clone(&tenants));
         let (phase, vrrp, accepting) = (Phase::Starting, None, Vec::new());
-        let mgmt = Mgmt::new(Rc::clone(&hub), Rc::clone(&front), Rc::clone(&config));
         let (inherited, fleet) = (false, fleet.map(Rc::new));
+        let mgmt = Mgmt::new(Rc::clone(&hub), Rc::clone(&front), Rc::clone(&config), fleet.clone());
         Head { phase, config, sources, hub, front, ninep, tenants, vrrp, accepting, mgmt, fleet, inherited }
     }
 
@@ -225,7 +225,7 @@
         actix_rt::spawn(Rc::clone(&self.hub).run_timers());
         if let Some(fleet) = &self.fleet {
             let (config, tenants) = (Rc::clone(&self.config), Rc::clone(&self.tenants));
-            actix_rt::spawn(Rc::clone(fleet).follow(config, tenants));
+            actix_rt::spawn(Rc::clone(fleet).follow(config, tenants, Rc::clone(&self.hub)));
         }
         let mut discovery = Discovery::new(Rc::clone(&self.hub), Rc::clone(&self.config));
         discovery.take_known();
--- a/crates/head/src/hub.rs
+++ b/crates/head/src/hub.rs
@@ -175,6 +175,14 @@
         self.tell(now, told);
     }
 
+    /// From now on these are the bricks, by name, that the fleet has banned.
+    pub fn ban_for_all<'a>(self: &Rc<Self>, banned: impl Iterator<Item = &'a String>) {
+        let now = self.clock.now();
+        let banned = banned.map(|name| self.backs.names.node(name)).collect();
+        let told = self.bans.borrow_mut().ban_for_all(banned, now);
+        self.tell(now, told);
+    }
+
     /// Tells the decisions of entries that a ban changed, as changes of the list.
     fn tell(self: &Rc<Self>, now: Micros, told: Vec<Listed>) {
         if !told.is_empty() {
--- a/crates/head/src/mgmt.rs
+++ b/crates/head/src/mgmt.rs
@@ -4,10 +4,12 @@
 //! `show-stat` gives, and the hand-over of bans to the next process of this head through `$TMPDIR`.
 
 use crate::config::Config;
+use crate::fleet::Fleet;
 use crate::front::http::HttpFront;
 use crate::hub::Hub;
 use sedgerun_core::maintenance::{Call, MOST_LINE};
 use sedgerun_decide::api::NodeId;
+use sedgerun_fleet::state::Outcome;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 use std::path::PathBuf;
@@ -30,6 +32,8 @@
     hub: Rc<Hub>,
     front: Rc<HttpFront>,
     config: Rc<Config>,
+    /// The fleet that it is of, where there is one.
+    fleet: Option<Rc<Fleet>>,
     /// This process can serve.
     pub ready: Cell<bool>,
     callers: Cell<usize>,
@@ -40,10 +44,10 @@
 
 impl Mgmt {
     /// The address's state; bans are handed over in `$TMPDIR` where there is one.
-    pub fn new(hub: Rc<Hub>, front: Rc<HttpFront>, config: Rc<Config>) -> Rc<Mgmt> {
+    pub fn new(hub: Rc<Hub>, front: Rc<HttpFront>, config: Rc<Config>, fleet: Option<Rc<Fleet>>) -> Rc<Mgmt> {
         let handover = std::env::var_os("TMPDIR").map(|dir| PathBuf::from(dir).join("sedgerun-bans"));
         let (ready, callers, seen) = Default::default();
-        Rc::new(Mgmt { hub, front, config, ready, callers, handover, seen })
+        Rc::new(Mgmt { hub, front, config, fleet, ready, callers, handover, seen })
     }
 
     /// The most callers at once: a few of the descriptors.
@@ -88,7 +92,7 @@
                     }
                 }
                 match Call::parse(&line) {
-                    Ok(call) => self.answer(call),
+                    Ok(call) => self.answer(call).await,
                     Err(why) => format!("NO {why}\n"),
                 }
             }
@@ -98,7 +102,7 @@
     }
 
     /// Carries out one call.
-    pub fn answer(&self, call: Call) -> String {
+    pub async fn answer(&self, call: Call) -> String {
         match call {
             Call::Ready if self.ready.get() => "YES ready\n".to_owned(),
             Call::Ready => "NO starting\n".to_owned(),
@@ -116,6 +120,23 @@
             }
             Call::Disable(id) => self.ban(&id, true),
             Call::Enable(id) => self.ban(&id, false),
+            Call::FleetDisable(id) => self.ban_for_all(id, true).await,
+            Call::FleetEnable(id) => self.ban_for_all(id, false).await,
+        }
+    }
+
+    /// A ban at all heads: yes means that a majority of the keepers has it on disk.
+    async fn ban_for_all(&self, brick: String, banned: bool) -> String {
+        let Some(fleet) = &self.fleet else { return "NO this head is in no fleet\n".to_owned() };
+        let what = if banned { "disabled" } else { "enabled" };
+        match fleet.ban(&brick, banned).await {
+            Ok(Outcome::Done { version, .. }) => {
+                tracing::info!("mgmt: {brick} {what} at all heads");
+                format!("YES {brick} {what} at all heads, version {version}\n")
+            }
+            Ok(Outcome::Missing(why) | Outcome::Conflict(why)) => format!("NO {why}\n"),
+            Ok(other) => format!("NO {other:?}\n"),
+            Err(why) => format!("NO {}; it may still happen: ask again\n", why.0),
         }
     }
 
@@ -127,7 +148,9 @@
             Ok(()) => {
                 tracing::info!("mgmt: {id} {}", if disable { "disabled" } else { "enabled" });
                 self.hand_over();
-                format!("YES {id} {}\n", if disable { "disabled" } else { "enabled" })
+                let still = !disable && self.hub.is_banned(node);
+                let still = if still { " here; the fleet's ban holds" } else { "" };
+                format!("YES {id} {}{still}\n", if disable { "disabled" } else { "enabled" })
             }
             Err(why) => format!("NO {id}: {why}\n"),
         }
@@ -136,8 +159,12 @@
     /// The figures as lines.
     pub fn figures(&self) -> String {
         let (listed, out) = self.hub.rotation();
-        let gauges =
-            [("open_requests", self.hub.open()), ("registry_entries", listed), ("out_of_rotation", out)];
+        let mut gauges = vec![
+            ("open_requests", self.hub.open() as u64),
+            ("registry_entries", listed as u64),
+            ("out_of_rotation", out as u64),
+        ];
+        gauges.extend(self.fleet.iter().flat_map(|fleet| fleet.figures()));
         self.hub.figures.render(&self.config.classes, &gauges)
     }
 
