Remember what a leader counts itself for: a hole that the model found, closed

Seen: stateright, on the code's own memory and repair decisions (crates/fleet/tests/model.rs), found an order that loses a promise: a copy of the LEADER's disk from the same life, put back after a crash. Each head noted what others acknowledged to it, nobody what a leader counts itself for (link.rs, Way::append_entries notes the target alone). Change: who takes entries or a call for a vote notes the caller's own mark (keeper.rs, caller), and a leader sends an entry only once it is synced on its own disk (link.rs, until_synced), so that what is noted is never more than it has. With two machines down at once an older copy is not found out: beyond the promise, and the model shows it. Real processes: the same order as a test in fleet.rs.

--- a/crates/fleet/src/memory.rs
+++ b/crates/fleet/src/memory.rs
@@ -10,7 +10,7 @@
 use std::collections::BTreeMap;
 
 /// How far a store is, as it says itself or as it has acknowledged.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Mark {
     /// The term of its vote.
     pub vote: u64,
@@ -30,7 +30,7 @@
 }
 
 /// A life of a store: from one start of its process to the next.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Life {
     /// Counted up and synced at each start.
     pub count: u64,
@@ -39,7 +39,7 @@
 }
 
 /// What is remembered of all stores.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Memory {
     stores: BTreeMap<StoreId, (Life, Mark)>,
 }
--- a/crates/head/src/fleet/disk.rs
+++ b/crates/head/src/fleet/disk.rs
@@ -19,7 +19,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Instant;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 
 const META: TableDefinition<'_, &str, &[u8]> = TableDefinition::new("meta");
 const LOG: TableDefinition<'_, u64, &[u8]> = TableDefinition::new("log");
@@ -102,6 +102,8 @@
     jobs: mpsc::Sender<Job>,
     /// Times of syncs.
     pub syncs: Arc<Syncs>,
+    /// The last entry of the log that is synced, by its index.
+    pub synced: watch::Receiver<u64>,
 }
 
 fn place(folder: &Path, what: impl Display) -> String {
@@ -128,11 +130,13 @@
     sync_folder(folder).map_err(|error| at(&error))?;
     let (jobs, waiting) = mpsc::channel(MOST_WAITING);
     let syncs = Arc::new(Syncs::default());
+    let last = held.log.keys().next_back().copied().or(held.purged.map(|purged| purged.index)).unwrap_or(0);
+    let (reached, synced) = watch::channel(last);
     let (times, path) = (Arc::clone(&syncs), folder.join(FILE));
     let thread = std::thread::Builder::new().name("fleet-disk".into());
-    let spawned = thread.spawn(move || run(&database, &path, waiting, &times));
+    let spawned = thread.spawn(move || run(&database, &path, waiting, (&times, &reached)));
     spawned.map_err(|error| at(&format!("no thread: {error}")))?;
-    Ok((Disk { jobs, syncs }, held))
+    Ok((Disk { jobs, syncs, synced }, held))
 }
 
 /// Guards against a file whose name was never written down: it would be gone after a loss of power.
@@ -205,7 +209,12 @@
     Ok(u64::from_le_bytes(bytes))
 }
 
-fn run(database: &Database, path: &Path, mut waiting: mpsc::Receiver<Job>, syncs: &Syncs) {
+fn run(
+    database: &Database,
+    path: &Path,
+    mut waiting: mpsc::Receiver<Job>,
+    (syncs, reached): (&Syncs, &watch::Sender<u64>),
+) {
     while let Some(first) = waiting.blocking_recv() {
         let mut jobs = vec![first];
         while jobs.len() < MOST_SHARED {
@@ -222,6 +231,15 @@
         syncs.longest.fetch_max(took, Ordering::Relaxed);
         if let Err(what) = &written {
             tracing::error!("fleet: {what}");
+        } else {
+            let before = *reached.borrow();
+            let last = jobs.iter().fold(before, |last, job| match job {
+                Job::Append(entries, _) => entries.last().map_or(last, |(index, _)| *index),
+                Job::Truncate(from, _) => last.min(from.saturating_sub(1)),
+                Job::Purge(upto, ..) => last.max(*upto),
+                _ => last,
+            });
+            reached.send_if_modified(|reached| std::mem::replace(reached, last) != last);
         }
         for job in jobs {
             match job {
@@ -238,6 +256,7 @@
 
 /// Writes jobs in their order and syncs them together.
 fn write(database: &Database, jobs: &[Job]) -> Result<(), redb::Error> {
+    point("a slow disk");
     fail::fail_point!("a full disk", |_| Err(redb::Error::Io(io::ErrorKind::StorageFull.into())));
     let mut begin = database.begin_write()?;
     // Guards against a commit that vanishes: with one phase, a store that was killed and of which one page is
--- a/crates/head/src/fleet/keeper.rs
+++ b/crates/head/src/fleet/keeper.rs
@@ -6,13 +6,13 @@
 use super::log::Log;
 use super::machine::Machine;
 use super::settings::Settings;
-use super::types::{Call, Known, Place, Raft, Reply, Status, Vote};
+use super::types::{Call, Known, LogId, Place, Raft, Reply, Status, Vote};
 use openraft::raft::AppendEntriesResponse;
 use openraft::{Config, ServerState, SnapshotPolicy};
 use sedgerun_fleet::election::{Election, Waits};
 use sedgerun_fleet::follow::{Follower, Followers, Keepers, Teller};
 use sedgerun_fleet::greeting::{Greeting, StoreId, origin};
-use sedgerun_fleet::memory::Life;
+use sedgerun_fleet::memory::{Life, Mark};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -85,6 +85,19 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// How far the store is that calls so, by its own word: its vote is saved, and what it sends is synced.
+fn caller(call: &Call) -> Option<Mark> {
+    let position = |at: LogId| (at.leader_id.term, at.index);
+    match call {
+        Call::Append(rpc) => {
+            let last = rpc.entries.last().map(|entry| entry.log_id).or(rpc.prev_log_id);
+            Some(Mark { vote: rpc.vote.leader_id().term, last: last.map_or((0, 0), position) })
+        }
+        Call::Vote(rpc) => Some(Mark { vote: rpc.vote.leader_id().term, last: (0, 0) }),
+        _ => None,
+    }
+}
+
 impl Keeper {
     /// Takes up the life of a store; others reach this head at an address.
     pub async fn start(
@@ -107,7 +120,7 @@
             woke,
             origin: identity.origin,
         };
-        let links = Links::new(own, settings.routes(), memory);
+        let links = Links::new(own, settings.routes(), memory, disk.synced.clone());
         let machine = Machine::new(disk.clone(), snapshot, &log, committed, followed)?;
         // Guards against a leader that goes on where it was: what it sent and had not synced is gone, and it would
         // put other entries in the same places. A restarted process is a new life, and stands for election anew.
@@ -182,7 +195,7 @@
                 if let Err(what) = self.adopt(from.origin).await {
                     return Reply::Refused(what);
                 }
-                let begun = now();
+                let (begun, caller) = (now(), caller(&call));
                 match protocol(&self.raft, call).await {
                     Ok(reply) => {
                         super::disk::point("before the answer to a leader");
@@ -192,6 +205,11 @@
                             self.election().heard(begun);
                             self.out.store(false, Ordering::SeqCst);
                         }
+                        // A leader counts itself, too: what it sends it has synced, and a copy of its disk from
+                        // before that is as old as any other's. The model in crates/fleet/tests found this.
+                        if let (Some(store), Some(mark)) = (from.store, caller) {
+                            self.links.remember(store, from.life, mark);
+                        }
                         return reply;
                     }
                     Err(call) => call,
--- a/crates/head/src/fleet/link.rs
+++ b/crates/head/src/fleet/link.rs
@@ -24,6 +24,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 
 /// The largest frame.
 pub const MOST_FRAME: usize = 16 << 20;
@@ -72,13 +73,28 @@
     old: AtomicBool,
     /// When each keeper last answered a call of the protocol.
     heard: Mutex<BTreeMap<StoreId, Millis>>,
+    /// The last entry of this head's own log that is synced.
+    synced: watch::Receiver<u64>,
 }
 
 impl Links {
     /// Links of a head that says this of itself, and reaches heads by name at these addresses.
-    pub fn new(own: Greeting, routes: BTreeMap<String, SocketAddr>, memory: Memory) -> Links {
+    pub fn new(
+        own: Greeting,
+        routes: BTreeMap<String, SocketAddr>,
+        memory: Memory,
+        synced: watch::Receiver<u64>,
+    ) -> Links {
         let (own, memory, old) = (Mutex::new(own), Mutex::new(memory), AtomicBool::default());
-        Links(Arc::new(Inner { own, routes, idle: Mutex::default(), memory, old, heard: Mutex::default() }))
+        Links(Arc::new(Inner {
+            own,
+            routes,
+            idle: Mutex::default(),
+            memory,
+            old,
+            heard: Mutex::default(),
+            synced,
+        }))
     }
 
     /// When a keeper last answered a call of the protocol.
@@ -109,6 +125,18 @@
         self.0.memory.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Another store has said, or acknowledged, that it is so far in this life.
+    pub fn remember(&self, store: StoreId, life: Life, mark: Mark) {
+        self.memory().note(store, life, mark);
+    }
+
+    /// Waits until this head has synced its log up to an entry.
+    async fn until_synced(&self, last: u64) -> io::Result<()> {
+        let mut synced = self.0.synced.clone();
+        let reached = synced.wait_for(|synced| *synced >= last).await;
+        reached.map(drop).map_err(|_| io::Error::other("the writer of the store has ended"))
+    }
+
     /// What is remembered of other stores.
     pub fn remembered(&self) -> Memory {
         self.memory().clone()
@@ -230,11 +258,18 @@
     ) -> Result<AppendEntriesResponse<StoreId>, RPCError<StoreId, Place, RaftError<StoreId>>> {
         let last = rpc.entries.last().map(|entry| entry.log_id).or(rpc.prev_log_id);
         let vote = rpc.vote.leader_id().term;
+        // Others remember of this store what it sends: it must not be more than it has.
+        let synced = self.links.until_synced(last.map_or(0, |last| last.index));
+        let synced = tokio::time::timeout(option.hard_ttl(), synced).await;
+        synced
+            .map_err(|_| io::ErrorKind::TimedOut.into())
+            .and_then(|synced| synced)
+            .map_err(|e| unreachable(&e))?;
         match self.call(&Call::Append(rpc), &option).await {
             Ok(Reply::Append(answer)) => {
                 if let AppendEntriesResponse::Success = answer {
                     let last = last.map_or((0, 0), |last| (last.leader_id.term, last.index));
-                    self.links.memory().note(self.target, self.life, Mark { vote, last });
+                    self.links.remember(self.target, self.life, Mark { vote, last });
                 }
                 Ok(answer)
             }
@@ -272,7 +307,7 @@
             Ok(Reply::Vote(answer)) => {
                 if answer.vote_granted {
                     let mark = Mark { vote, ..Mark::default() };
-                    self.links.memory().note(self.target, self.life, mark);
+                    self.links.remember(self.target, self.life, mark);
                 }
                 Ok(answer)
             }
--- a/crates/head/src/fleet/tell.rs
+++ b/crates/head/src/fleet/tell.rs
@@ -41,7 +41,7 @@
         woke: Mark::default(),
         origin: None,
     };
-    Links::new(own, settings.routes(), Memory::default())
+    Links::new(own, settings.routes(), Memory::default(), tokio::sync::watch::channel(0).1)
 }
 
 fn block_on<T>(work: impl Future<Output = T>) -> Result<T, String> {
--- a/crates/head/tests/fleet.rs
+++ b/crates/head/tests/fleet.rs
@@ -2,7 +2,7 @@
 
 mod rig;
 
-use rig::{CALM, CUT, Rig, call, export, exports, put, settle};
+use rig::{CALM, CUT, Rig, call, export, exports, put, row, settle};
 use sedgerun_rehearse::troublemaker::{Trouble, Way};
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -185,6 +185,86 @@
     }
 }
 
+/// Found by the model: a leader counts itself, and nobody remembered what for.
+#[test]
+fn an_older_copy_of_the_leaders_own_disk_makes_no_majority() {
+    let mut rig = Rig::begun(3);
+    let leader = rig.leader(&[0, 1, 2]);
+    let (with, without) = ((leader + 1) % 3, (leader + 2) % 3);
+    settle(&[rig.api(leader)], "horvat", "before");
+    (0..3).for_each(|head| rig.synced(head));
+    // Copied while it leads, as careless backups are.
+    let (file, copy) = (rig.dirs[leader].join("fleet.redb"), rig.dirs[leader].with_extension("copy"));
+    std::fs::copy(&file, &copy).expect("a copy");
+    rig.trouble(without, CUT, CUT);
+    for i in 0..5 {
+        settle(&[rig.api(leader)], "horvat", &format!("after{i}"));
+    }
+    // The one that acknowledged them hears of the leader's last position with the next sign of life.
+    thread::sleep(Duration::from_millis(400));
+    rig.kill(leader);
+    std::fs::copy(&copy, &file).expect("the copy");
+    rig.up(leader);
+    rig.until("the older copy is found out", || {
+        let trouble = row(&rig.status(with), leader)["trouble"].clone();
+        trouble.as_str().is_some_and(|said| said.contains("older copy")).then_some(())
+    });
+    rig.trouble(without, CALM, CALM);
+    rig.trouble(with, CUT, CUT);
+    let begun = Instant::now();
+    while begun.elapsed() < Duration::from_secs(3) {
+        let said = put(rig.api(without), "horvat", "wrong", "wrong").expect("an answer");
+        assert_eq!(said.status, 503, "{said:?}");
+    }
+    rig.trouble(with, CALM, CALM);
+    let held = exports(rig.api(without), "horvat");
+    assert!((0..5).all(|i| held.contains(&format!("after{i}"))), "{held:?}");
+}
+
+#[test]
+fn a_keeper_that_was_cut_off_does_not_end_the_leaders_term_when_it_returns() {
+    let rig = Rig::begun(3);
+    let leader = rig.leader(&[0, 1, 2]);
+    let term = row(&rig.status(leader), leader)["term"].clone();
+    for kind in ["cut", "still"] {
+        let away = (leader + 1) % 3;
+        if kind == "cut" {
+            rig.trouble(away, CUT, CUT);
+        } else {
+            rig.program(away).stand_still(true);
+        }
+        thread::sleep(Duration::from_secs(3));
+        settle(&[rig.api(leader)], "horvat", kind);
+        if kind == "cut" {
+            rig.trouble(away, CALM, CALM);
+        } else {
+            rig.program(away).stand_still(false);
+        }
+        assert!(exports(rig.api(away), "horvat").contains(&kind.to_owned()));
+        thread::sleep(Duration::from_millis(1500));
+        assert_eq!(row(&rig.status(leader), leader)["role"], "leader", "{kind}");
+        assert_eq!(row(&rig.status(leader), leader)["term"], term, "{kind}");
+    }
+}
+
+#[test]
+fn a_leader_with_a_slow_disk_sends_only_what_it_has_synced() {
+    let mut rig = Rig::laid(3, 3);
+    rig.variables[0] = vec![("FAILPOINTS".to_owned(), "a slow disk=sleep(250)".to_owned())];
+    rig.begin();
+    // The one that begins the fleet leads first.
+    assert_eq!(rig.leader(&[0, 1, 2]), 0);
+    let before = row(&rig.status(1), 1)["last"].as_u64();
+    let api = rig.api(0);
+    let begun = Instant::now();
+    let client = thread::spawn(move || put(api, "horvat", "press", "press"));
+    rig.until("the entry is at a follower", || {
+        (row(&rig.status(1), 1)["last"].as_u64() > before).then_some(())
+    });
+    assert!(begun.elapsed() >= Duration::from_millis(250), "it was sent after {:?}", begun.elapsed());
+    client.join().expect("a client");
+}
+
 #[test]
 fn a_leader_started_again_stands_for_election_anew() {
     let mut rig = Rig::begun(3);
