World for the fleet's store: real parts on model disks and networks; planted faults

Auditor: nothing acknowledged missing, one leader a term, no version going back, equal versions equal. A stopped keeper took its leader from the library's last word for ever.

--- a/crates/head/src/fleet/change.rs
+++ b/crates/head/src/fleet/change.rs
@@ -2,12 +2,12 @@
 
 use super::keeper::{Keeper, Unsettled};
 use super::types::{Call, Place, Reply};
-use openraft::ServerState;
 use openraft::error::{ClientWriteError, ForwardToLeader, RaftError};
 use sedgerun_fleet::follow::Teller;
 use sedgerun_fleet::greeting::StoreId;
 use sedgerun_fleet::state::{Change, Outcome};
-use std::time::{Duration, Instant};
+use std::time::Duration;
+use tokio::time::Instant;
 
 /// Time in which a change is settled or refused.
 const CHANGE: Duration = Duration::from_millis(950);
@@ -39,16 +39,7 @@
 
     /// Makes a change through this head as leader.
     async fn write(&self, change: Change) -> Result<Outcome, Failed> {
-        let (leads, own) = {
-            let metrics = self.raft.metrics().borrow().clone();
-            (metrics.state == ServerState::Leader, metrics.id)
-        };
-        let written = tokio::select! {
-            written = self.raft.client_write(change) => written,
-            // Guards against a write that waits for a leadership that is lost: the library answers it only when
-            // another leader's entry takes its place.
-            () = self.moved(Some(own)), if leads => return Err(Failed::Why("the leader has just changed".into())),
-        };
+        let written = self.raft.client_write(change).await;
         super::disk::point("before the answer to a client");
         match written {
             Ok(written) => written.data.ok_or(Failed::Why("the change came to nothing".into())),
@@ -79,6 +70,7 @@
         let known = self.raft.metrics().borrow().current_leader;
         let left = if known.is_some() { left } else { left.min(TRY) };
         tokio::select! {
+            biased;
             reply = self.links.call(to, call, left) => {
                 reply.map_err(|error| format!("the leader {} at {to}: {error}", leader.head))
             }
--- a/crates/head/src/fleet/disk.rs
+++ b/crates/head/src/fleet/disk.rs
@@ -3,9 +3,10 @@
 //! One thread writes, so that whatever waits while one sync runs shares the next; nobody else waits for a disk.
 //! All records are checksummed ([`record`]), and all are read at the start: a spoilt one ends the start.
 
+use super::outside::random;
 use super::types::{Entry, LogId, SnapshotMeta, Types, Vote};
 use openraft::storage::LogFlushed;
-use redb::{Database, Durability, ReadableDatabase, ReadableTable, TableDefinition};
+use redb::{Builder, Database, Durability, ReadableDatabase, ReadableTable, StorageBackend, TableDefinition};
 use sedgerun_fleet::greeting::StoreId;
 use sedgerun_fleet::memory::{Mark, Memory};
 use sedgerun_fleet::record::{self, Kind};
@@ -14,12 +15,12 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::fmt::Display;
-use std::io::{self, Read};
+use std::io;
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Instant;
-use tokio::sync::{mpsc, oneshot, watch};
+use std::time::{Duration, Instant};
+use tokio::sync::{mpsc, oneshot};
 
 const META: TableDefinition<'_, &str, &[u8]> = TableDefinition::new("meta");
 const LOG: TableDefinition<'_, u64, &[u8]> = TableDefinition::new("log");
@@ -102,17 +103,22 @@
     jobs: mpsc::Sender<Job>,
     /// Times of syncs.
     pub syncs: Arc<Syncs>,
-    /// The last entry of the log that is synced, by its index.
-    pub synced: watch::Receiver<u64>,
 }
 
 fn place(folder: &Path, what: impl Display) -> String {
     format!("{}: {what}", folder.join(FILE).display())
 }
 
+fn builder() -> Builder {
+    let mut builder = Database::builder();
+    // Guards against a file that was altered and is taken on trust.
+    builder.set_cache_size(CACHE).set_check_integrity_on_open(true);
+    builder
+}
+
 /// Opens the file in a folder, or makes it, and reads all that it holds. An error names file and place.
 pub fn database(folder: &Path) -> Result<(Database, Held), String> {
-    let database = Database::builder().set_cache_size(CACHE).create(folder.join(FILE));
+    let database = builder().create(folder.join(FILE));
     let database = database.map_err(|error| place(folder, error))?;
     let held = read(&database).map_err(|what| place(folder, what))?;
     Ok((database, held))
@@ -121,22 +127,43 @@
 /// Opens the store in a folder, or makes it, and begins its next life. An error names file and place.
 pub fn open(folder: &Path) -> Result<(Disk, Held), String> {
     std::fs::create_dir_all(folder).map_err(|error| format!("{}: {error}", folder.display()))?;
-    let (database, mut held) = database(folder)?;
-    let at = |error: &dyn Display| place(folder, error);
+    let (database, held) = database(folder)?;
+    let (disk, writer, held) = begin(database, held, folder.join(FILE).display().to_string())?;
+    sync_folder(folder).map_err(|error| place(folder, error))?;
+    let thread = std::thread::Builder::new().name("fleet-disk".into());
+    let spawned = thread.spawn(move || writer.run());
+    spawned.map_err(|error| place(folder, format!("no thread: {error}")))?;
+    Ok((disk, held))
+}
+
+/// Opens a store on what a World has in place of a disk; `sync` is how long each write takes.
+pub fn open_in_world(
+    backend: impl StorageBackend,
+    mut sync: impl FnMut() -> Duration + Send + 'static,
+) -> Result<(Disk, Held), String> {
+    let database = builder().create_with_backend(backend).map_err(|error| error.to_string())?;
+    let held = read(&database)?;
+    let (disk, mut writer, held) = begin(database, held, "a disk of a World".into())?;
+    tokio::spawn(async move {
+        while let Some(first) = writer.waiting.recv().await {
+            tokio::time::sleep(sync()).await;
+            writer.write(first);
+        }
+    });
+    Ok((disk, held))
+}
+
+/// Begins the next life of a store.
+fn begin(database: Database, mut held: Held, name: String) -> Result<(Disk, Writer, Held), String> {
+    let at = |error: &dyn Display| format!("{name}: {error}");
     held.identity.life += 1;
     let identity = record::seal(Kind::Identity, &held.identity).map_err(|error| at(&error))?;
     let begin = Job::Put("identity", identity, oneshot::channel().0);
     write(&database, &[begin]).map_err(|error| at(&error))?;
-    sync_folder(folder).map_err(|error| at(&error))?;
     let (jobs, waiting) = mpsc::channel(MOST_WAITING);
     let syncs = Arc::new(Syncs::default());
-    let last = held.log.keys().next_back().copied().or(held.purged.map(|purged| purged.index)).unwrap_or(0);
-    let (reached, synced) = watch::channel(last);
-    let (times, path) = (Arc::clone(&syncs), folder.join(FILE));
-    let thread = std::thread::Builder::new().name("fleet-disk".into());
-    let spawned = thread.spawn(move || run(&database, &path, waiting, (&times, &reached)));
-    spawned.map_err(|error| at(&format!("no thread: {error}")))?;
-    Ok((Disk { jobs, syncs, synced }, held))
+    let writer = Writer { database, name, waiting, syncs: Arc::clone(&syncs) };
+    Ok((Disk { jobs, syncs }, writer, held))
 }
 
 /// Guards against a file whose name was never written down: it would be gone after a loss of power.
@@ -201,45 +228,38 @@
     Ok(Identity { store: random()?, life: 0, origin: None })
 }
 
-/// A number that nobody else draws.
-pub fn random() -> Result<u64, String> {
-    let mut bytes = [0; 8];
-    let drawn = std::fs::File::open("/dev/urandom").and_then(|mut file| file.read_exact(&mut bytes));
-    drawn.map_err(|error| format!("/dev/urandom: {error}"))?;
-    Ok(u64::from_le_bytes(bytes))
+/// The one that writes.
+struct Writer {
+    database: Database,
+    name: String,
+    waiting: mpsc::Receiver<Job>,
+    syncs: Arc<Syncs>,
 }
 
-fn run(
-    database: &Database,
-    path: &Path,
-    mut waiting: mpsc::Receiver<Job>,
-    (syncs, reached): (&Syncs, &watch::Sender<u64>),
-) {
-    while let Some(first) = waiting.blocking_recv() {
+impl Writer {
+    fn run(mut self) {
+        while let Some(first) = self.waiting.blocking_recv() {
+            self.write(first);
+        }
+    }
+
+    /// Writes a job and whatever waits behind it, syncs them together, and tells those that wait for it.
+    fn write(&mut self, first: Job) {
         let mut jobs = vec![first];
         while jobs.len() < MOST_SHARED {
-            match waiting.try_recv() {
+            match self.waiting.try_recv() {
                 Ok(job) => jobs.push(job),
                 Err(_) => break,
             }
         }
         let begun = Instant::now();
-        let written = write(database, &jobs).map_err(|error| format!("{}: {error}", path.display()));
+        let written = write(&self.database, &jobs).map_err(|error| format!("{}: {error}", self.name));
         let took = begun.elapsed().as_micros() as u64;
-        syncs.count.fetch_add(1, Ordering::Relaxed);
-        syncs.total.fetch_add(took, Ordering::Relaxed);
-        syncs.longest.fetch_max(took, Ordering::Relaxed);
+        self.syncs.count.fetch_add(1, Ordering::Relaxed);
+        self.syncs.total.fetch_add(took, Ordering::Relaxed);
+        self.syncs.longest.fetch_max(took, Ordering::Relaxed);
         if let Err(what) = &written {
             tracing::error!("fleet: {what}");
-        } else {
-            let before = *reached.borrow();
-            let last = jobs.iter().fold(before, |last, job| match job {
-                Job::Append(entries, _) => entries.last().map_or(last, |(index, _)| *index),
-                Job::Truncate(from, _) => last.min(from.saturating_sub(1)),
-                Job::Purge(upto, ..) => last.max(*upto),
-                _ => last,
-            });
-            reached.send_if_modified(|reached| std::mem::replace(reached, last) != last);
         }
         for job in jobs {
             match job {
--- a/crates/head/src/fleet/follow.rs
+++ b/crates/head/src/fleet/follow.rs
@@ -1,13 +1,14 @@
 //! Following: a head that does not keep hears the state from another, and tells those that hang on it.
 
-use super::clock::now;
 use super::keeper::Keeper;
+use super::outside::now;
 use super::types::{Call, Lack, Reply};
 use sedgerun_fleet::follow::{Asked, Hanging, Next, Teller, Told};
 use sedgerun_fleet::greeting::Greeting;
 use sedgerun_fleet::record::Kind;
 use std::sync::atomic::Ordering;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+use tokio::time::Instant;
 
 /// Bytes of one piece of news, about.
 pub const PIECE: usize = 256 << 10;
--- a/crates/head/src/fleet/keeper.rs
+++ b/crates/head/src/fleet/keeper.rs
@@ -1,10 +1,10 @@
 //! One head's part in the fleet: it keeps the state with the others or follows them, and says how it stands.
 
-use super::clock::now;
-use super::disk::{Disk, Held, Identity, random};
+use super::disk::{Disk, Held, Identity};
 use super::link::{Links, protocol};
 use super::log::Log;
 use super::machine::Machine;
+use super::outside::{Dial, now, random};
 use super::settings::Settings;
 use super::types::{Call, Known, LogId, Place, Raft, Reply, Status, Vote};
 use openraft::raft::AppendEntriesResponse;
@@ -104,8 +104,8 @@
         settings: Settings,
         head: &str,
         address: SocketAddr,
-        disk: Disk,
-        held: Held,
+        (disk, held): (Disk, Held),
+        dial: Arc<dyn Dial>,
     ) -> Result<Keeper, String> {
         let woke = held.mark();
         let Held { identity, vote, committed, purged, log, memory, snapshot, followed } = held;
@@ -120,7 +120,7 @@
             woke,
             origin: identity.origin,
         };
-        let links = Links::new(own, settings.routes(), memory, disk.synced.clone());
+        let links = Links::new(own, settings.routes(), memory, dial);
         let machine = Machine::new(disk.clone(), snapshot, &log, committed, followed)?;
         // Guards against a leader that goes on where it was: what it sent and had not synced is gone, and it would
         // put other entries in the same places. A restarted process is a new life, and stands for election anew.
@@ -263,7 +263,7 @@
 
     /// Begins the fleet with the keepers of the settings: each must answer under its name, and hold nothing.
     /// Begun twice with the same stores, it is begun once.
-    async fn begin(&self) -> Result<(), String> {
+    pub async fn begin(&self) -> Result<(), String> {
         let own = self.links.own();
         if !self.settings.keepers.contains_key(&own.head) {
             return Err(format!("{} is not among the keepers of its own settings", own.head));
@@ -300,7 +300,7 @@
     pub fn votes(&self) -> bool {
         let metrics = self.raft.metrics().borrow().clone();
         let voter = metrics.membership_config.membership().voter_ids().any(|voter| voter == metrics.id);
-        // One whose disk has failed keeps nothing any more: it follows.
+        // One whose disk has failed keeps nothing any more and hears nothing by the protocol: it follows.
         voter && !self.out.load(Ordering::SeqCst) && metrics.running_state.is_ok()
     }
 
@@ -325,12 +325,13 @@
 
     /// Where the leader is, as far as this head knows; `None` where that is itself, or nobody.
     pub fn leader(&self) -> Option<Teller> {
+        if !self.votes() {
+            return self.follower().leader.clone();
+        }
         let metrics = self.raft.metrics().borrow().clone();
-        let place = metrics.current_leader.filter(|leader| *leader != metrics.id).and_then(|leader| {
-            let place = metrics.membership_config.membership().get_node(&leader)?;
-            Some(Teller { head: place.head.clone(), address: place.address.clone() })
-        });
-        place.or_else(|| self.follower().leader.clone().filter(|_| !self.votes()))
+        let leader = metrics.current_leader.filter(|leader| *leader != metrics.id)?;
+        let place = metrics.membership_config.membership().get_node(&leader)?;
+        Some(Teller { head: place.head.clone(), address: place.address.clone() })
     }
 
     /// Over which heads this one hears of changes, and how old what it holds may be.
--- a/crates/head/src/fleet/link.rs
+++ b/crates/head/src/fleet/link.rs
@@ -1,7 +1,7 @@
 //! Connections to other heads: frames of a length and a record, a greeting first, then a call and its answer at
 //! a time.
 
-use super::clock::now;
+use super::outside::{Dial, Wire, now};
 use super::types::{Call, Place, Raft, Reply, Types, address};
 use openraft::error::{InstallSnapshotError, NetworkError, RPCError, RaftError, RemoteError, Unreachable};
 use openraft::network::RPCOption;
@@ -23,8 +23,6 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
-use tokio::sync::watch;
 
 /// The largest frame.
 pub const MOST_FRAME: usize = 16 << 20;
@@ -34,7 +32,7 @@
 const MOST_IDLE: usize = 8;
 
 /// Writes one frame.
-pub async fn send<T: Serialize>(stream: &mut TcpStream, kind: Kind, value: &T) -> io::Result<()> {
+pub async fn send<T: Serialize>(stream: &mut Wire, kind: Kind, value: &T) -> io::Result<()> {
     let record = record::seal(kind, value).map_err(io::Error::other)?;
     if record.len() > MOST_FRAME {
         return Err(io::Error::other(format!("a frame of {} bytes is too long", record.len())));
@@ -45,7 +43,7 @@
 }
 
 /// Reads one frame. A malformed one is an error of the kind `InvalidData`.
-pub async fn receive<T: DeserializeOwned>(stream: &mut TcpStream, kind: Kind) -> io::Result<T> {
+pub async fn receive<T: DeserializeOwned>(stream: &mut Wire, kind: Kind) -> io::Result<T> {
     let spoilt = |what: String| io::Error::new(io::ErrorKind::InvalidData, what);
     let length = stream.read_u32_le().await? as usize;
     if length > MOST_FRAME {
@@ -67,14 +65,13 @@
 struct Inner {
     own: Mutex<Greeting>,
     routes: BTreeMap<String, SocketAddr>,
-    idle: Mutex<HashMap<SocketAddr, Vec<TcpStream>>>,
+    idle: Mutex<HashMap<SocketAddr, Vec<Wire>>>,
     memory: Mutex<Memory>,
     /// Another head has said that this one is an older copy of its disk.
     old: AtomicBool,
     /// When each keeper last answered a call of the protocol.
     heard: Mutex<BTreeMap<StoreId, Millis>>,
-    /// The last entry of this head's own log that is synced.
-    synced: watch::Receiver<u64>,
+    dial: Arc<dyn Dial>,
 }
 
 impl Links {
@@ -83,7 +80,7 @@
         own: Greeting,
         routes: BTreeMap<String, SocketAddr>,
         memory: Memory,
-        synced: watch::Receiver<u64>,
+        dial: Arc<dyn Dial>,
     ) -> Links {
         let (own, memory, old) = (Mutex::new(own), Mutex::new(memory), AtomicBool::default());
         Links(Arc::new(Inner {
@@ -93,7 +90,7 @@
             memory,
             old,
             heard: Mutex::default(),
-            synced,
+            dial,
         }))
     }
 
@@ -130,13 +127,6 @@
         self.memory().note(store, life, mark);
     }
 
-    /// Waits until this head has synced its log up to an entry.
-    async fn until_synced(&self, last: u64) -> io::Result<()> {
-        let mut synced = self.0.synced.clone();
-        let reached = synced.wait_for(|synced| *synced >= last).await;
-        reached.map(drop).map_err(|_| io::Error::other("the writer of the store has ended"))
-    }
-
     /// What is remembered of other stores.
     pub fn remembered(&self) -> Memory {
         self.memory().clone()
@@ -155,10 +145,9 @@
     }
 
     /// A fresh connection, and what the other end says of itself.
-    pub async fn dial(&self, to: SocketAddr) -> io::Result<(TcpStream, Greeting)> {
+    pub async fn dial(&self, to: SocketAddr) -> io::Result<(Wire, Greeting)> {
         let greet = async {
-            let mut stream = TcpStream::connect(to).await?;
-            stream.set_nodelay(true)?;
+            let mut stream = self.0.dial.dial(to).await?;
             let own = self.own();
             send(&mut stream, Kind::Greeting, &own).await?;
             let theirs: Result<Greeting, Refusal> = receive(&mut stream, Kind::Greeting).await?;
@@ -201,7 +190,7 @@
     links: Links,
     target: StoreId,
     to: Option<SocketAddr>,
-    stream: Option<TcpStream>,
+    stream: Option<Wire>,
     /// The life of the store at the other end.
     life: Life,
 }
@@ -258,13 +247,6 @@
     ) -> Result<AppendEntriesResponse<StoreId>, RPCError<StoreId, Place, RaftError<StoreId>>> {
         let last = rpc.entries.last().map(|entry| entry.log_id).or(rpc.prev_log_id);
         let vote = rpc.vote.leader_id().term;
-        // Others remember of this store what it sends: it must not be more than it has.
-        let synced = self.links.until_synced(last.map_or(0, |last| last.index));
-        let synced = tokio::time::timeout(option.hard_ttl(), synced).await;
-        synced
-            .map_err(|_| io::ErrorKind::TimedOut.into())
-            .and_then(|synced| synced)
-            .map_err(|e| unreachable(&e))?;
         match self.call(&Call::Append(rpc), &option).await {
             Ok(Reply::Append(answer)) => {
                 if let AppendEntriesResponse::Success = answer {
--- a/crates/head/src/fleet/mend.rs
+++ b/crates/head/src/fleet/mend.rs
@@ -1,7 +1,7 @@
 //! The leader's care for the keepers: one that is lost is replaced, one change at a time.
 
-use super::clock::now;
 use super::keeper::Keeper;
+use super::outside::now;
 use super::types::{Call, Place, Reply};
 use openraft::ChangeMembers;
 use sedgerun_fleet::election::Millis;
--- a/crates/head/src/fleet/mod.rs
+++ b/crates/head/src/fleet/mod.rs
@@ -3,19 +3,20 @@
 
 mod api;
 mod change;
-mod clock;
-mod disk;
+pub mod disk;
 mod follow;
 mod keeper;
 mod link;
 mod log;
 mod machine;
 mod mend;
+pub mod node;
+pub mod outside;
 pub mod recover;
 mod serve;
 pub mod settings;
 pub mod tell;
-mod types;
+pub mod types;
 mod wake;
 
 use crate::config::Config;
@@ -23,6 +24,8 @@
 use crate::tenants::{Export, Registry};
 use keeper::Keeper;
 pub use keeper::Unsettled;
+use node::Node;
+use outside::{Tcp, random};
 use sedgerun_fleet::state::{Change, Command, Outcome};
 use sedgerun_fleet::view::{Fields, Tenant};
 use sedgerun_settings::Pairs;
@@ -69,17 +72,18 @@
             };
             runtime.block_on(async {
                 let listener = tokio::net::TcpListener::from_std(bound).map_err(|error| error.to_string());
-                let keeper = match listener {
-                    Ok(listener) => Keeper::start(settings, &name, address, disk, held)
-                        .await
-                        .map(|keeper| (Arc::new(keeper), listener)),
+                let node = match listener {
+                    Ok(listener) => {
+                        let tcp = Arc::new(Tcp);
+                        let node = Node::start(settings, &name, address, (disk, held), tcp).await;
+                        node.map(|node| (node, listener))
+                    }
                     Err(what) => Err(what),
                 };
-                match keeper {
-                    Ok((keeper, listener)) => {
-                        let _ = started.send(Ok((Handle::current(), Arc::clone(&keeper))));
-                        live(&keeper);
-                        serve::serve(keeper, listener).await;
+                match node {
+                    Ok((node, listener)) => {
+                        let _ = started.send(Ok((Handle::current(), Arc::clone(&node.keeper))));
+                        serve::serve(node, listener).await;
                     }
                     Err(what) => drop(started.send(Err(what))),
                 }
@@ -216,23 +220,6 @@
     }
 }
 
-/// Begins all that a head does by itself for its fleet.
-fn live(keeper: &Arc<Keeper>) {
-    tokio::spawn(watch_role(Arc::clone(keeper)));
-    tokio::spawn(Arc::clone(keeper).stand());
-    let waking = Arc::clone(keeper);
-    tokio::spawn(async move {
-        waking.wake().await;
-        waking.remember().await;
-    });
-    let following = Arc::clone(keeper);
-    tokio::spawn(async move { following.follow().await });
-    let keeping = Arc::clone(keeper);
-    tokio::spawn(async move { keeping.keep_followed().await });
-    let mending = Arc::clone(keeper);
-    tokio::spawn(async move { mending.mend().await });
-}
-
 /// Puts a tenant in place as far as this head's settings know what its exports name.
 fn put(registry: &mut Registry, config: &Config, name: &str, tenant: &Tenant) {
     registry.open(name);
@@ -255,33 +242,11 @@
     pairs.finish(export).map_err(|faults| faults.to_string())
 }
 
-/// Says each change of this head's part in one line.
-async fn watch_role(keeper: Arc<Keeper>) {
-    let mut metrics = keeper.raft.metrics();
-    let mut said = (String::new(), 0, None);
-    loop {
-        let status = keeper.status();
-        let now = (status.role, status.term, status.leader);
-        if now != said {
-            let leader = now.2.as_deref().unwrap_or("nobody");
-            tracing::info!(term = now.1, leader, version = status.version, "fleet: now {}", now.0);
-            said = now;
-        }
-        if let Some(what) = status.trouble {
-            tracing::error!("fleet: keeps and promises nothing any more: {what}");
-            return;
-        }
-        if metrics.changed().await.is_err() {
-            return;
-        }
-    }
-}
-
 /// What the fleet is asked for, with the key under which it happens once.
 pub fn change(key: Option<&str>, expect: Option<u64>, command: Command) -> Result<Change, String> {
     let key = match key {
         Some(key) => format!("caller {key}"),
-        None => format!("{:016x}{:016x}", disk::random()?, disk::random()?),
+        None => format!("{:016x}{:016x}", random()?, random()?),
     };
     Ok(Change { key, expect, command })
 }
--- a/crates/head/src/fleet/recover.rs
+++ b/crates/head/src/fleet/recover.rs
@@ -2,6 +2,7 @@
 
 use super::disk::{self, Identity};
 use super::machine;
+use super::outside::random;
 use super::settings::Settings;
 use super::types::{Membership, Place, SnapshotMeta, Vote};
 use sedgerun_fleet::greeting::origin;
@@ -44,7 +45,7 @@
     if accepted != Some(version) {
         return Err(format!("{said} To go on: sedgerun fleet recover --lose-changes-after {version}"));
     }
-    let store = disk::random()?;
+    let store = random()?;
     let term =
         held.vote.map_or(0, |vote| vote.leader_id().term).max(held_last.map_or(0, |at| at.leader_id.term));
     let at = settings.keepers.get(head).copied().or(settings.address).unwrap_or(settings.listen);
--- a/crates/head/src/fleet/serve.rs
+++ b/crates/head/src/fleet/serve.rs
@@ -2,6 +2,8 @@
 
 use super::keeper::Keeper;
 use super::link::{GREETING, receive, send};
+use super::node::Node;
+use super::outside::Wire;
 use super::types::Call;
 use sedgerun_fleet::greeting::{Greeting, Refusal};
 use sedgerun_fleet::record::Kind;
@@ -9,7 +11,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::Semaphore;
 
 /// The most heads and command lines that are connected at once.
@@ -20,7 +22,7 @@
 const ANSWER: Duration = Duration::from_secs(5);
 
 /// Accepts heads for as long as the future is polled.
-pub async fn serve(keeper: Arc<Keeper>, listener: TcpListener) {
+pub async fn serve(node: Node, listener: TcpListener) {
     let room = Arc::new(Semaphore::new(MOST_CALLERS));
     loop {
         let Ok((stream, peer)) = listener.accept().await else {
@@ -29,9 +31,13 @@
         };
         // Guards against callers that connect and stay: those past the bound are closed at once.
         let Ok(place) = Arc::clone(&room).try_acquire_owned() else { continue };
-        let keeper = Arc::clone(&keeper);
+        let keeper = Arc::clone(&node.keeper);
         tokio::spawn(async move {
-            if let Err(error) = converse(&keeper, stream).await {
+            let conversed = match stream.set_nodelay(true) {
+                Ok(()) => converse(&keeper, Box::new(stream)).await,
+                Err(error) => Err(error),
+            };
+            if let Err(error) = conversed {
                 let spoilt =
                     matches!(error.kind(), io::ErrorKind::InvalidData | io::ErrorKind::PermissionDenied);
                 if spoilt {
@@ -44,8 +50,8 @@
     }
 }
 
-async fn converse(keeper: &Keeper, mut stream: TcpStream) -> io::Result<()> {
-    stream.set_nodelay(true)?;
+/// Answers one head for as long as it asks.
+pub async fn converse(keeper: &Keeper, mut stream: Wire) -> io::Result<()> {
     let late = |_| io::Error::from(io::ErrorKind::TimedOut);
     let greeting = tokio::time::timeout(GREETING, receive(&mut stream, Kind::Greeting)).await;
     let mut theirs: Greeting = greeting.map_err(late)??;
--- a/crates/head/src/fleet/tell.rs
+++ b/crates/head/src/fleet/tell.rs
@@ -1,7 +1,7 @@
 //! `sedgerun fleet ...`: what the command line asks of the heads of a fleet.
 
-use super::disk::random;
 use super::link::Links;
+use super::outside::{Tcp, random};
 use super::settings::Settings;
 use super::types::{Call, Known, Reply, Status};
 use super::{change, own_address};
@@ -16,6 +16,7 @@
 use std::fmt::Write as _;
 use std::io::Write as _;
 use std::path::Path;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Time that one head has for its answer.
@@ -41,7 +42,7 @@
         woke: Mark::default(),
         origin: None,
     };
-    Links::new(own, settings.routes(), Memory::default(), tokio::sync::watch::channel(0).1)
+    Links::new(own, settings.routes(), Memory::default(), Arc::new(Tcp))
 }
 
 fn block_on<T>(work: impl Future<Output = T>) -> Result<T, String> {
--- a/crates/head/src/fleet/wake.rs
+++ b/crates/head/src/fleet/wake.rs
@@ -1,7 +1,7 @@
 //! A keeper's first words after its start, what it remembers of the others, and its standing for election.
 
-use super::clock::now;
 use super::keeper::Keeper;
+use super::outside::now;
 use super::types::{Call, LogId, Place, Reply};
 use openraft::ServerState;
 use sedgerun_fleet::election::Step;
@@ -10,8 +10,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 
 /// Time that a store which has just woken waits for the word of each other keeper.
 const WAKE: Duration = Duration::from_secs(2);
--- a/crates/head/tests/faults.rs
+++ b/crates/head/tests/faults.rs
@@ -260,11 +260,12 @@
     let left: Vec<SocketAddr> =
         [0, 2, 3].iter().filter(|head| **head != leader).map(|head| rig.api(*head)).collect();
     settle(&left, "horvat", "after");
+    settle(&[rig.api(1)], "horvat", "passed-on-later");
     // With room again and a new start it is of use.
     rig.kill(1);
     rig.variables[1].clear();
     rig.up(1);
-    assert_eq!(exports(rig.api(1), "horvat").len(), count + 2);
+    assert_eq!(exports(rig.api(1), "horvat").len(), count + 3);
 }
 
 #[test]
--- /dev/null
+++ b/crates/rehearse/src/fleet/heads.rs
@@ -0,0 +1,281 @@
+//! The heads of the fleet's World, each with its disk, and what strikes them.
+
+use super::auditor::Auditor;
+use super::disk::Platter;
+use super::net::{Net, Way};
+use super::strikes::{Strike, Strikes};
+use super::{Chance, Plant};
+use sedgerun::fleet::disk::open_in_world;
+use sedgerun::fleet::node::{Asked, Node};
+use sedgerun::fleet::outside::Wire;
+use sedgerun::fleet::settings::Settings;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+struct Head {
+    platter: Platter,
+    /// An earlier copy of its disk.
+    copy: Option<Platter>,
+    node: Option<Node>,
+    incoming: Option<mpsc::UnboundedReceiver<Wire>>,
+    /// An earlier copy lies in the place of its disk.
+    restored: bool,
+    /// Planted: the number that its store is to have after its disk was wiped.
+    old_name: Option<u64>,
+}
+
+/// The heads.
+pub struct Heads {
+    keepers: usize,
+    heads: Vec<Head>,
+    places: Vec<SocketAddr>,
+    net: Net,
+    syncs: Arc<Mutex<Chance>>,
+    plant: Option<Plant>,
+    /// A disk was lost and its copies are not at full number again.
+    mending: bool,
+}
+
+impl Heads {
+    /// Heads that are not started.
+    pub fn new((keepers, all): (usize, usize), seed: u64, plant: Option<Plant>) -> Heads {
+        let place = |head: usize| SocketAddr::from((Ipv4Addr::LOCALHOST, 10_000 + head as u16));
+        let places: Vec<SocketAddr> = (0..all).map(place).collect();
+        let lies = plant == Some(Plant::LyingDisk);
+        let head = |_| Head {
+            platter: Platter::new(lies),
+            copy: None,
+            node: None,
+            incoming: None,
+            restored: false,
+            old_name: None,
+        };
+        Heads {
+            keepers,
+            heads: (0..all).map(head).collect(),
+            net: Net::new(&places, Chance::new(seed, 3)),
+            places,
+            syncs: Arc::new(Mutex::new(Chance::new(seed, 4))),
+            plant,
+            mending: false,
+        }
+    }
+
+    /// How many there are.
+    pub fn count(&self) -> usize {
+        self.heads.len()
+    }
+
+    /// Whether a head is up.
+    pub fn is_up(&self, head: usize) -> bool {
+        self.heads[head].node.is_some()
+    }
+
+    /// Whether all is as it should be: all up and reached, all copies at full number.
+    pub fn is_whole(&self) -> bool {
+        !self.mending && self.net.is_well() && self.heads.iter().all(|head| head.node.is_some())
+    }
+
+    fn settings(&self, head: usize) -> Settings {
+        let named = |head: usize| (format!("n{head}"), self.places[head]);
+        Settings {
+            name: "world".into(),
+            secret: "known to the World alone".into(),
+            listen: self.places[head],
+            dir: PathBuf::new(),
+            keepers: (0..self.keepers).map(named).collect(),
+            heads: (self.keepers..self.heads.len()).map(named).collect(),
+            address: Some(self.places[head]),
+            zone: None,
+        }
+    }
+
+    /// Begins to start a head.
+    pub fn starting(&mut self, head: usize) -> impl Future<Output = Result<Node, String>> + use<> {
+        let settings = self.settings(head);
+        let (address, plug, syncs) = (self.places[head], self.net.plug(head), Arc::clone(&self.syncs));
+        let own = &mut self.heads[head];
+        own.incoming = Some(self.net.up(head));
+        let (opened, old_name) = (own.platter.open(), own.old_name.take());
+        async move {
+            // A sync of 0.5 to 6 ms, and at times of 100.
+            let sync = move || {
+                let mut chance = syncs.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+                let long = if chance.below(200) == 0 { 100_000 } else { 0 };
+                Duration::from_micros(500 + chance.below(5500) + long)
+            };
+            let (disk, mut held) = open_in_world(opened, sync)?;
+            if let Some(store) = old_name {
+                held.identity.store = store;
+            }
+            Node::start(settings, &format!("n{head}"), address, (disk, held), plug).await
+        }
+    }
+
+    /// A head has started.
+    pub fn started(&mut self, head: usize, node: Node) {
+        self.heads[head].node = Some(node);
+    }
+
+    /// Hands on connections that wait.
+    pub fn take_connections(&mut self) {
+        for head in &mut self.heads {
+            let (Some(node), Some(incoming)) = (&mut head.node, &mut head.incoming) else { continue };
+            while let Ok(wire) = incoming.try_recv() {
+                node.accept(wire);
+            }
+        }
+    }
+
+    /// Shows the auditor how they stand, and finds out whether the copies are at full number.
+    pub fn look(&mut self, auditor: &mut Auditor) {
+        let mut whole = false;
+        for (head, node) in self.heads.iter().filter_map(|head| Some((head, head.node.as_ref()?))) {
+            let status = node.status();
+            if !head.restored && status.trouble.as_ref().is_some_and(|what| what.contains("older copy")) {
+                auditor.broke(format!("{} is taken for an older copy, and is none", status.head));
+            }
+            // An older copy of a disk shows what it held until it is found out.
+            if !head.restored {
+                auditor.at(status.store, status.life, status.version);
+            }
+            if let Some(term) = node.leads_in() {
+                auditor.leads(term, status.store);
+                let there = |keeper: &sedgerun::fleet::types::Known| {
+                    let up = self.heads.iter().filter_map(|head| head.node.as_ref());
+                    keeper.votes
+                        && keeper.matched == Some(status.last)
+                        && up.into_iter().any(|n| n.store() == keeper.store)
+                };
+                whole |= status.keepers.len() == self.keepers && status.keepers.iter().all(there);
+            }
+        }
+        self.mending &= !whole;
+    }
+
+    fn down(&mut self, head: usize) {
+        self.net.down(head);
+        self.heads[head].incoming = None;
+        // Dropped, it does nothing more; what it had not written is never written.
+        if let Some(node) = self.heads[head].node.take() {
+            node.end();
+        }
+    }
+
+    /// Something strikes; the heads that are to be started.
+    pub fn strike(&mut self, strike: (Strike, usize, usize), strikes: &mut Strikes) -> Vec<usize> {
+        let (kind, head, other) = strike;
+        match kind {
+            Strike::Kill => {
+                self.heads[head].platter.kill();
+                self.down(head);
+            }
+            Strike::Power => {
+                self.heads[head].platter.lose_power(&mut strikes.chance);
+                self.down(head);
+            }
+            Strike::Start => return vec![head],
+            Strike::Cut => self.both(head, other, Way::Cut),
+            Strike::Isolate => {
+                (0..self.heads.len()).filter(|to| *to != head).for_each(|to| self.both(head, to, Way::Cut));
+            }
+            Strike::Deaf => {
+                (0..self.heads.len())
+                    .filter(|to| *to != head)
+                    .for_each(|to| self.net.set(to, head, Way::Lose));
+            }
+            Strike::Stall => {
+                (0..self.heads.len()).filter(|to| *to != head).for_each(|to| self.both(head, to, Way::Stall));
+            }
+            Strike::Heal => self.net.heal(),
+            Strike::Copy => self.heads[head].copy = Some(self.heads[head].platter.copy()),
+            Strike::Lose => {
+                self.mending = true;
+                let store = self.heads[head].node.as_ref().map(Node::store);
+                self.heads[head].platter.kill();
+                self.down(head);
+                self.heads[head].platter = Platter::new(self.plant == Some(Plant::LyingDisk));
+                (self.heads[head].copy, self.heads[head].restored) = (None, false);
+                self.heads[head].old_name = store.filter(|_| self.plant == Some(Plant::OldName));
+                return vec![head];
+            }
+            Strike::Restore => {
+                let Some(copy) = self.heads[head].copy.take() else { return vec![] };
+                self.heads[head].platter.kill();
+                self.down(head);
+                (self.heads[head].platter, self.heads[head].restored) = (copy, true);
+                self.mending = true;
+                return vec![head];
+            }
+        }
+        vec![]
+    }
+
+    fn both(&self, a: usize, b: usize, way: Way) {
+        self.net.set(a, b, way);
+        self.net.set(b, a, way);
+    }
+
+    /// Whether a head has an earlier copy of its disk.
+    pub fn has_copy(&self, head: usize) -> bool {
+        self.heads[head].copy.is_some()
+    }
+
+    /// All faults end; the heads that are to be started. One that has found out that it is an older copy is wiped,
+    /// as operators would.
+    pub fn heal(&mut self) -> Vec<usize> {
+        self.net.heal();
+        for head in 0..self.heads.len() {
+            let old = |node: &Node| node.status().trouble.is_some_and(|what| what.contains("older copy"));
+            if self.heads[head].node.as_ref().is_some_and(old) {
+                self.heads[head].platter.kill();
+                self.down(head);
+                (self.heads[head].platter, self.heads[head].restored) = (Platter::new(false), false);
+            }
+        }
+        (0..self.heads.len()).filter(|head| !self.is_up(*head)).collect()
+    }
+
+    /// Why they are not yet at one, with all that was acknowledged.
+    pub fn apart(&self, auditor: &Auditor) -> Option<String> {
+        let nodes: Vec<&Node> = self.heads.iter().filter_map(|head| head.node.as_ref()).collect();
+        let newest = nodes.iter().map(|node| node.look(|view| view.version)).max().unwrap_or(0);
+        for (head, node) in nodes.iter().enumerate() {
+            let status = node.status();
+            // Found out late: it does not take part, and an operator wipes it.
+            if status.trouble.as_ref().is_some_and(|what| what.contains("older copy")) {
+                continue;
+            }
+            let lacks = node.look(|view| auditor.missing(view));
+            if let Some(lost) = lacks {
+                return Some(format!("{lost} was acknowledged, and head {head} does not hold it in the end"));
+            }
+            if status.version < newest {
+                return Some(format!(
+                    "head {head} stays at version {}, not {newest}: {status:?}",
+                    status.version
+                ));
+            }
+        }
+        let leader = nodes.iter().filter(|node| node.leads_in().is_some()).max_by_key(|node| node.leads_in());
+        let Some(leader) = leader.map(|leader| leader.status()) else {
+            return Some("nobody leads in the end".to_owned());
+        };
+        let votes = leader.keepers.iter().filter(|keeper| keeper.votes).count();
+        let whole = votes == self.keepers && leader.keepers.len() == self.keepers;
+        (!whole).then(|| format!("{votes} of {} keep in the end: {leader:?}", leader.keepers.len()))
+    }
+
+    /// A way to ask a head.
+    pub fn asked(&self, head: usize) -> Option<Asked> {
+        self.heads[head].node.as_ref().map(Node::asked)
+    }
+
+    /// A way to ask any head that is up.
+    pub fn any(&self, chance: &mut Chance) -> Option<Asked> {
+        self.asked(chance.below(self.heads.len() as u64) as usize)
+    }
+}
--- /dev/null
+++ b/crates/rehearse/src/fleet/net.rs
@@ -0,0 +1,183 @@
+//! The network between heads of the fleet's World: connections with a latency, that are cut, stalled, or lose what
+//! goes one way.
+
+use super::Chance;
+use sedgerun::fleet::outside::{Dial, Dialing, Wire};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream, ReadHalf, WriteHalf};
+use tokio::sync::mpsc;
+use tokio::task::AbortHandle;
+
+/// Bytes under way on one connection.
+const ROOM: usize = 64 << 10;
+/// Between looks at whether a stall is over.
+const STALL_LOOK: Duration = Duration::from_millis(20);
+
+/// What becomes of whatever goes from one head to another.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Way {
+    /// It arrives.
+    #[default]
+    Pass,
+    /// No connection is made or kept.
+    Cut,
+    /// It waits.
+    Stall,
+    /// It vanishes.
+    Lose,
+}
+
+struct Inner {
+    chance: Chance,
+    places: BTreeMap<SocketAddr, usize>,
+    incoming: Vec<Option<mpsc::UnboundedSender<Wire>>>,
+    ways: BTreeMap<(usize, usize), Way>,
+    /// Connections by their ends, the one that dialed first.
+    wires: Vec<(usize, usize, AbortHandle)>,
+}
+
+/// The network.
+#[derive(Clone)]
+pub struct Net(Arc<Mutex<Inner>>);
+
+/// A head's way to the network.
+pub struct Plug {
+    net: Net,
+    own: usize,
+}
+
+impl std::fmt::Debug for Plug {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "the plug of head {}", self.own)
+    }
+}
+
+impl Net {
+    /// A network between heads at these addresses.
+    pub fn new(places: &[SocketAddr], chance: Chance) -> Net {
+        let incoming = places.iter().map(|_| None).collect();
+        let places = places.iter().enumerate().map(|(head, at)| (*at, head)).collect();
+        Net(Arc::new(Mutex::new(Inner {
+            chance,
+            places,
+            incoming,
+            ways: BTreeMap::new(),
+            wires: Vec::new(),
+        })))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// A head's way to it.
+    pub fn plug(&self, own: usize) -> Arc<Plug> {
+        Arc::new(Plug { net: self.clone(), own })
+    }
+
+    /// A head is up: its connections come here.
+    pub fn up(&self, head: usize) -> mpsc::UnboundedReceiver<Wire> {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        self.lock().incoming[head] = Some(sender);
+        receiver
+    }
+
+    /// A head is down: its connections are gone.
+    pub fn down(&self, head: usize) {
+        let mut inner = self.lock();
+        inner.incoming[head] = None;
+        inner.drop_wires(|from, to| from == head || to == head);
+    }
+
+    /// What becomes from now on of what goes from one head to another.
+    pub fn set(&self, from: usize, to: usize, way: Way) {
+        let mut inner = self.lock();
+        if way == Way::Pass {
+            inner.ways.remove(&(from, to))
+        } else {
+            inner.ways.insert((from, to), way)
+        };
+        if way == Way::Cut {
+            inner.drop_wires(|a, b| (a, b) == (from, to) || (b, a) == (from, to));
+        }
+    }
+
+    /// All is well again.
+    pub fn heal(&self) {
+        self.lock().ways.clear();
+    }
+
+    /// Whether nothing is wrong between heads.
+    pub fn is_well(&self) -> bool {
+        self.lock().ways.is_empty()
+    }
+
+    fn way(&self, from: usize, to: usize) -> Way {
+        self.lock().ways.get(&(from, to)).copied().unwrap_or_default()
+    }
+
+    fn latency(&self) -> Duration {
+        Duration::from_micros(100 + self.lock().chance.below(900))
+    }
+
+    async fn pump(
+        self,
+        mut from: ReadHalf<DuplexStream>,
+        mut to: WriteHalf<DuplexStream>,
+        ends: (usize, usize),
+    ) {
+        let mut bytes = vec![0; 16 << 10];
+        while let Ok(read @ 1..) = from.read(&mut bytes).await {
+            tokio::time::sleep(self.latency()).await;
+            while self.way(ends.0, ends.1) == Way::Stall {
+                tokio::time::sleep(STALL_LOOK).await;
+            }
+            if self.way(ends.0, ends.1) == Way::Lose {
+                continue;
+            }
+            if to.write_all(&bytes[..read]).await.is_err() {
+                break;
+            }
+        }
+        let _ = to.shutdown().await;
+    }
+
+    async fn connect(self, own: usize, at: SocketAddr) -> io::Result<Wire> {
+        tokio::time::sleep(self.latency()).await;
+        let refused = || io::Error::from(io::ErrorKind::ConnectionRefused);
+        let mut inner = self.lock();
+        let to = *inner.places.get(&at).ok_or_else(refused)?;
+        let cut = [(own, to), (to, own)].iter().any(|ends| inner.ways.get(ends) == Some(&Way::Cut));
+        let door = inner.incoming[to].clone().filter(|_| !cut).ok_or_else(refused)?;
+        let ((near, near_far), (far_near, far)) = (tokio::io::duplex(ROOM), tokio::io::duplex(ROOM));
+        door.send(Box::new(far)).map_err(|_| refused())?;
+        let ((read_near, write_near), (read_far, write_far)) =
+            (tokio::io::split(near_far), tokio::io::split(far_near));
+        let there = tokio::spawn(self.clone().pump(read_near, write_far, (own, to)));
+        let back = tokio::spawn(self.clone().pump(read_far, write_near, (to, own)));
+        inner.wires.retain(|(_, _, wire)| !wire.is_finished());
+        inner.wires.extend([(own, to, there.abort_handle()), (own, to, back.abort_handle())]);
+        Ok(Box::new(near))
+    }
+}
+
+impl Inner {
+    fn drop_wires(&mut self, which: impl Fn(usize, usize) -> bool) {
+        self.wires.retain(|(from, to, wire)| {
+            if which(*from, *to) {
+                wire.abort();
+            }
+            !which(*from, *to)
+        });
+    }
+}
+
+impl Dial for Plug {
+    fn dial(&self, to: SocketAddr) -> Dialing {
+        Box::pin(self.net.clone().connect(self.own, to))
+    }
+}
--- /dev/null
+++ b/crates/rehearse/src/fleet/strikes.rs
@@ -0,0 +1,80 @@
+//! What strikes a fleet in its World, and when. Disks are lost one at a time: the next goes only when all copies are
+//! at full number again, which is what the store promises to bear.
+
+use super::Chance;
+use super::heads::Heads;
+use std::collections::BTreeMap;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// A kind of fault.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Strike {
+    /// A process is killed; what it wrote stays.
+    Kill,
+    /// A machine loses power: what was not synced is there, or not, or torn.
+    Power,
+    /// One that is down starts again.
+    Start,
+    /// Two heads do not reach each other.
+    Cut,
+    /// One reaches nobody.
+    Isolate,
+    /// One can send and hears nothing.
+    Deaf,
+    /// Whatever goes to or from one waits.
+    Stall,
+    /// The network is well again.
+    Heal,
+    /// A copy of a disk is put aside while it is in use.
+    Copy,
+    /// A machine is lost with its disk, and comes back empty.
+    Lose,
+    /// The copy comes back in the place of the disk.
+    Restore,
+}
+
+/// The faults of one run.
+pub struct Strikes {
+    /// Its numbers.
+    pub chance: Chance,
+    heads: usize,
+    due: Instant,
+    /// How often each struck.
+    pub struck: BTreeMap<Strike, u64>,
+}
+
+impl Strikes {
+    /// Faults for so many heads, the first after half a second or more.
+    pub fn new(chance: Chance, heads: usize) -> Strikes {
+        let due = Instant::now() + Duration::from_millis(1500);
+        Strikes { chance, heads, due, struck: BTreeMap::new() }
+    }
+
+    /// What strikes now: the kind, the head, and another.
+    pub fn due(&mut self, heads: &Heads) -> Option<(Strike, usize, usize)> {
+        if Instant::now() < self.due {
+            return None;
+        }
+        self.due = Instant::now() + Duration::from_millis(50 + self.chance.below(900));
+        let head = self.chance.below(self.heads as u64) as usize;
+        let other = (head + 1 + self.chance.below(self.heads as u64 - 1) as usize) % self.heads;
+        let up = heads.is_up(head);
+        let strike = match self.chance.below(20) {
+            0..=2 if up => Strike::Kill,
+            3..=5 if up => Strike::Power,
+            0..=13 if !up => Strike::Start,
+            6 => Strike::Cut,
+            7 => Strike::Isolate,
+            8 => Strike::Deaf,
+            9 => Strike::Stall,
+            10..=14 => Strike::Heal,
+            15 | 16 if up => Strike::Copy,
+            17 | 18 if up && heads.is_whole() => Strike::Lose,
+            19 if up && heads.is_whole() && heads.has_copy(head) => Strike::Restore,
+            _ => return None,
+        };
+        *self.struck.entry(strike).or_default() += 1;
+        Some((strike, head, other))
+    }
+}
--- a/crates/rehearse/src/lib.rs
+++ b/crates/rehearse/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod draw;
 pub mod experiment;
 pub mod figures;
+pub mod fleet;
 pub mod model;
 pub mod report;
 pub mod scenario;
--- a/crates/rehearse/src/main.rs
+++ b/crates/rehearse/src/main.rs
@@ -4,14 +4,16 @@
 use indicatif::{ProgressBar, ProgressStyle};
 use sedgerun::config::Sources;
 use sedgerun::{command, logging};
+use sedgerun_rehearse::fleet::{self, Plant};
 use sedgerun_rehearse::report::{Chart, compare_table, figure, lines, page, spread_table, table};
 use sedgerun_rehearse::scenario::Scenario;
-use sedgerun_rehearse::world::Plant;
+use sedgerun_rehearse::world;
 use sedgerun_rehearse::{experiment, sockets};
 use sedgerun_settings::Faults;
 use serde_json::Value;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::time::Duration;
 
 /// Rehearses incidents: heads, boxes, a registry and clients in one deterministic world, or on loopback.
 #[derive(Parser)]
@@ -44,7 +46,7 @@
 
 impl Which {
     /// Plays once, in World or on sockets.
-    fn play(&self, scenario: &Scenario, seed: u64, plant: Option<Plant>) -> Result<Value, Faults> {
+    fn play(&self, scenario: &Scenario, seed: u64, plant: Option<world::Plant>) -> Result<Value, Faults> {
         if !self.sockets {
             return experiment::in_world(scenario, seed, plant);
         }
@@ -115,6 +117,27 @@
         #[arg(long, default_value_t = 12)]
         seconds: u32,
     },
+    /// Play the fleet's store in its World under faults, seed by seed; exit status 1 where a rule broke
+    Store {
+        /// The first seed
+        #[arg(long, default_value_t = 1)]
+        from: u64,
+        /// How many seeds
+        #[arg(long, default_value_t = 200)]
+        seeds: u64,
+        /// Heads that keep, and heads in all
+        #[arg(long, value_delimiter = ',', num_args = 2, default_values_t = [3, 5])]
+        heads: Vec<usize>,
+        /// How long faults strike, s of virtual time
+        #[arg(long, default_value_t = 20)]
+        seconds: u64,
+        /// Seeds that are played side by side
+        #[arg(long, default_value_t = 4)]
+        threads: usize,
+        /// Plant a fault: lying-disk, old-name, stale-read
+        #[arg(long)]
+        plant: Option<String>,
+    },
     /// Run one head, as `sedgerun serve` does: what heads on sockets are processes of
     #[command(hide = true)]
     Serve,
@@ -196,6 +219,20 @@
         }
         Command::Speed { which, sizes, runs, chart } => speed(&which, &sizes, runs, chart.as_deref()),
         Command::Demo { seconds } => demo(seconds),
+        Command::Store { from, seeds, heads, seconds, threads, plant } => {
+            let plant =
+                plant.map(|name| Plant::named(&name).ok_or(plain(format!("--plant {name}: unknown"))));
+            let [keepers, all] = heads[..] else { return Err(plain("--heads: two numbers")) };
+            let run = fleet::Run {
+                seed: from,
+                heads: (keepers, all),
+                strikes_for: Duration::from_secs(seconds),
+                plant: plant.transpose()?,
+            };
+            let all = fleet::play_all(run, seeds, threads.max(1));
+            println!("{}", all.table());
+            Ok(all.broken.is_empty())
+        }
         // Dealt with before all else.
         Command::Serve => Ok(true),
         Command::Report { folder } => {
@@ -208,7 +245,7 @@
 fn run_once(which: &Which, plant: Option<&str>) -> Result<bool, Faults> {
     let scenario = load(which)?;
     let plant = plant.map(|name| {
-        let found = Plant::ALL.iter().find(|(_, known)| *known == name).map(|(plant, _)| *plant);
+        let found = world::Plant::ALL.iter().find(|(_, known)| *known == name).map(|(plant, _)| *plant);
         found.ok_or_else(|| plain(format!("--plant {name} is unknown")))
     });
     let result = which.play(&scenario, scenario.seed, plant.transpose()?)?;
