store-demo and store-measure: five heads lose their leader, and what it costs

The API takes 64 connections where there is a fleet (16 were too few for clients that wait for shared syncs).

--- a/crates/fleet/src/repair.rs
+++ b/crates/fleet/src/repair.rs
@@ -119,8 +119,8 @@
             return None;
         }
         if let Some((_, out)) = leaving.first() {
-            let left = alive - usize::from(out.silent < AWAY) + 1;
-            return (left >= majority(voters.len())).then_some(Step::Swap(out.store, newcomer.store));
+            // The newcomer is there, so that no fewer are than before.
+            return Some(Step::Swap(out.store, newcomer.store));
         }
         return Some(if voters.len() < wanted {
             Step::Add(newcomer.store)
--- a/crates/head/src/admin.rs
+++ b/crates/head/src/admin.rs
@@ -27,8 +27,9 @@
 
 /// The largest body of a request.
 const MOST_BODY: usize = 64 * 1024;
-/// The most connections at once.
+/// The most connections at once; with a fleet, whose changes wait for syncs and share them, more.
 const MOST_CLIENTS: usize = 16;
+const MOST_FLEET_CLIENTS: usize = 64;
 /// Time that a request may take to come in.
 const REQUEST_TIME: Duration = Duration::from_secs(5);
 
@@ -72,7 +73,8 @@
             .h1(service);
         let handler = factory.new_service(()).await.map_err(|()| io::Error::other("no HTTP service"))?;
         let handler = Rc::new(handler);
-        let room = Rc::new(tokio::sync::Semaphore::new(MOST_CLIENTS));
+        let most = if self.fleet.is_some() { MOST_FLEET_CLIENTS } else { MOST_CLIENTS };
+        let room = Rc::new(tokio::sync::Semaphore::new(most));
         loop {
             let Ok((stream, peer)) = listener.accept().await else {
                 tokio::time::sleep(Duration::from_millis(50)).await;
--- /dev/null
+++ b/crates/rehearse/src/fleet/demo.rs
@@ -0,0 +1,67 @@
+//! A newcomer sees it: five heads on loopback, changes, the leader lost with its disk; nothing is lost and the copies
+//! return.
+
+use super::rig::Rig;
+use crate::scenario::Scenario;
+use std::path::Path;
+use std::sync::OnceLock;
+use std::time::Instant;
+
+/// Changes before the loss, and while the copies return.
+const CHANGES: usize = 60;
+
+/// A plan, a class that repeats and one that does not, by the names that a scenario has by itself.
+pub(super) fn names() -> &'static (String, String, String) {
+    static NAMES: OnceLock<(String, String, String)> = OnceLock::new();
+    NAMES.get_or_init(|| {
+        let scenario = Scenario::read("(scenario store (seconds 1) (heads 1) (boxes 1))").ok();
+        let of = |repeat: bool| {
+            let class = scenario.as_ref().and_then(|s| s.classes.iter().find(|class| class.repeat == repeat));
+            class.map(|class| class.name.clone()).unwrap_or_default()
+        };
+        let plan = scenario.as_ref().and_then(|s| s.plans.first()).map(|plan| plan.name.clone());
+        (plan.unwrap_or_default(), of(true), of(false))
+    })
+}
+
+/// Plays it, and says each step; an error is what did not come about.
+pub fn play(program: &Path, say: impl Fn(&str)) -> Result<(), String> {
+    let begun = Instant::now();
+    let mut rig = Rig::begin(program, 3, 5)?;
+    say(&format!("five heads, three of which keep ({:.1} s)", begun.elapsed().as_secs_f64()));
+    let leader = rig.leader().ok_or("nobody leads")?;
+    let mut settled: Vec<String> = Vec::new();
+    let change = |rig: &Rig, settled: &mut Vec<String>| {
+        let name = format!("e{}", settled.len());
+        let up = rig.up();
+        let at = up[settled.len() % up.len()];
+        rig.until("a change is settled", |rig| rig.caller(at).put("horvat", &name).then_some(()))?;
+        settled.push(name);
+        Ok::<(), String>(())
+    };
+    for _ in 0..CHANGES {
+        change(&rig, &mut settled)?;
+    }
+    say(&format!("{CHANGES} changes, each at another head, acknowledged"));
+    let lost = Instant::now();
+    rig.lose(leader);
+    say(&format!("n{leader}, which led, is killed, and its disk is gone"));
+    change(&rig, &mut settled)?;
+    say(&format!("the next change is acknowledged after {:.2} s", lost.elapsed().as_secs_f64()));
+    rig.start(leader)?;
+    rig.until("three keep again", |rig| (rig.keepers() == Some(3)).then_some(()))?;
+    say(&format!("three keep all of it again after {:.2} s", lost.elapsed().as_secs_f64()));
+    for _ in 0..CHANGES {
+        change(&rig, &mut settled)?;
+    }
+    for head in rig.up() {
+        let held = rig.until("a settled read", |rig| rig.caller(head).exports("horvat"))?;
+        if let Some(missing) = settled.iter().find(|name| !held.contains(name)) {
+            return Err(format!("{missing} was acknowledged, and n{head} does not hold it"));
+        }
+    }
+    say(&format!("all {} changes are there, read at each of the five heads", settled.len()));
+    say(&rig.status(false).unwrap_or_default());
+    say(&format!("{:.1} s in all", begun.elapsed().as_secs_f64()));
+    Ok(())
+}
--- a/crates/rehearse/src/fleet/mod.rs
+++ b/crates/rehearse/src/fleet/mod.rs
@@ -3,9 +3,12 @@
 //! watches that nothing acknowledged is missing, no term has two leaders, and no reader's version goes back.
 
 pub mod auditor;
+pub mod demo;
 pub mod disk;
 pub mod heads;
+pub mod measure;
 pub mod net;
+pub mod rig;
 pub mod strikes;
 
 use crate::draw::source;
--- a/crates/rehearse/src/main.rs
+++ b/crates/rehearse/src/main.rs
@@ -138,6 +138,20 @@
         #[arg(long)]
         plant: Option<String>,
     },
+    /// Five heads of a fleet on loopback: changes, the leader lost with its disk, nothing lost; under 40 s
+    StoreDemo,
+    /// What the fleet's store bears and costs, on real processes, as tables
+    StoreMeasure {
+        /// The program of the heads; this one where it is absent
+        #[arg(long)]
+        program: Option<PathBuf>,
+        /// How long each figure is taken, s
+        #[arg(long, default_value_t = 5)]
+        seconds: u64,
+        /// Heads in all, for what followers cost
+        #[arg(long, value_delimiter = ',', default_value = "10,40")]
+        heads: Vec<usize>,
+    },
     /// Run one head, as `sedgerun serve` does: what heads on sockets are processes of
     #[command(hide = true)]
     Serve,
@@ -219,6 +233,19 @@
         }
         Command::Speed { which, sizes, runs, chart } => speed(&which, &sizes, runs, chart.as_deref()),
         Command::Demo { seconds } => demo(seconds),
+        Command::StoreDemo => {
+            let program = std::env::current_exe().map_err(plain)?;
+            fleet::demo::play(&program, |line| println!("{line}")).map_err(plain)?;
+            Ok(true)
+        }
+        Command::StoreMeasure { program, seconds, heads } => {
+            let program = program.map_or_else(std::env::current_exe, Ok).map_err(plain)?;
+            println!("{}", fleet::measure::rates(&program, seconds).map_err(plain)?);
+            for heads in heads {
+                println!("{}", fleet::measure::costs(&program, heads, seconds).map_err(plain)?);
+            }
+            Ok(true)
+        }
         Command::Store { from, seeds, heads, seconds, threads, plant } => {
             let plant =
                 plant.map(|name| Plant::named(&name).ok_or(plain(format!("--plant {name}: unknown"))));
