--- a/review/standin/ninep.rs
+++ b/review/standin/ninep.rs
@@ -27,10 +27,16 @@
             format!("Twrite fid {fid}, offset {offset}, {:?}", String::from_utf8_lossy(data))
         }
         Message::Rread { data } => format!("Rread {:?}", String::from_utf8_lossy(data)),
+        Message::Tattach { fid, uname, aname, .. } => format!("Tattach fid {fid}, uname {}, aname {aname}", short(uname)),
         other => format!("{other:?}"),
     }
 }
 
+/// A name, or the beginning of a long one and its length.
+fn short(name: &str) -> String {
+    if name.len() <= 40 { name.to_owned() } else { format!("{}... ({} bytes)", &name[..16], name.len()) }
+}
+
 /// A file or a directory, apart from its names.
 struct Node {
     number: u64,
@@ -288,7 +294,7 @@
         let stream = TcpStream::connect(address).map_err(|error| error.to_string())?;
         stream.set_nodelay(true).map_err(|error| error.to_string())?;
         stream.set_read_timeout(Some(Duration::from_secs(5))).map_err(|error| error.to_string())?;
-        let mut client = FileClient { name: name.to_owned(), stream, record: record.clone() };
+        let mut client = FileClient { name: short(name), stream, record: record.clone() };
         let version = Message::Tversion { msize: MAX_MESSAGE_SIZE, version: VERSION.into() };
         client.call_with_tag(NO_TAG, &version)?;
         let attach = Message::Tattach { fid: 0, afid: NO_FID, uname: name.into(), aname: export.into() };
