--- a/review/3/main.rs
+++ b/review/3/main.rs
@@ -11,16 +11,16 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-/// The largest limit that the deployment page gives, and the descriptors that go with it.
-const MEMORY_MB: u64 = 192;
-const SOCKETS: u64 = 1024;
+/// The limits of a head on the days last played, by the README.
+const MEMORY_MB: u64 = 48;
+const SOCKETS: u64 = 384;
 const RUN: Duration = Duration::from_secs(60);
 /// Bad clients at once; each is gone before the next one of its place comes.
 const BAD_CLIENTS: u64 = 4;
 /// A string of 9P has up to 65,535 bytes, and a message of this head up to 64 KiB and its header.
 const NAME_BYTES: usize = 60_000;
 /// Time between a bad client's end and the next one of its place.
-const BAD_PAUSE: Duration = Duration::from_millis(20);
+const BAD_PAUSE: Duration = Duration::from_millis(100);
 /// How often the platform looks at the head's memory.
 const PLATFORM_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -98,7 +98,13 @@
 }
 
 /// A sound client that reads a file again and again.
-fn read_on(ninep: SocketAddr, record: &Record, is_over: &AtomicBool, served: &AtomicU64, unanswered: &AtomicU64) {
+fn read_on(
+    ninep: SocketAddr,
+    record: &Record,
+    is_over: &AtomicBool,
+    served: &AtomicU64,
+    unanswered: &AtomicU64,
+) {
     let Ok(mut client) = FileClient::attach("desk", ninep, "press", record) else { return };
     if client.walk(1, &["naklada.txt"]).and_then(|_| client.open(1, 0)).is_err() {
         return;
--- a/review/standin/ninep.rs
+++ b/review/standin/ninep.rs
@@ -27,7 +27,9 @@
             format!("Twrite fid {fid}, offset {offset}, {:?}", String::from_utf8_lossy(data))
         }
         Message::Rread { data } => format!("Rread {:?}", String::from_utf8_lossy(data)),
-        Message::Tattach { fid, uname, aname, .. } => format!("Tattach fid {fid}, uname {}, aname {aname}", short(uname)),
+        Message::Tattach { fid, uname, aname, .. } => {
+            format!("Tattach fid {fid}, uname {}, aname {aname}", short(uname))
+        }
         other => format!("{other:?}"),
     }
 }
