Review, case 3: changes of tenants take all heads of a fleet over their limit

What that entry can do is graver than the case that stood here: sound operators alone bring it about, it strikes all voters at once, and it comes back from their disks.

--- a/review/3/main.rs
+++ b/review/3/main.rs
@@ -1,28 +1,30 @@
-//! Case: bad 9P clients connect, attach under a long user name, and go.
+//! Case: the settings of a fleet's tenants are changed again and again.
 
 use review::brick::Brick;
 use review::discovery::Discovery;
-use review::head::{Folder, HeadFiles, root, settings};
+use review::fleet::{FleetHead, three_heads_with};
+use review::head::{Folder, Head, root};
 use review::ninep::{FileClient, FileServer};
 use review::record::Record;
-use review::{BROKEN, COULD_NOT_RUN, HELD, free_address, run_case, trouble};
-use serde_json::json;
-use std::net::SocketAddr;
+use review::{BROKEN, COULD_NOT_RUN, HELD, run_case, trouble};
+use serde_json::{Value, json};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 /// The limits of a head on the days last played, by the README.
 const MEMORY_MB: u64 = 48;
 const SOCKETS: u64 = 384;
+/// "a service for twenty small print shops".
+const TENANTS: u64 = 20;
+const EXPORTS: u64 = 20;
+/// Time between an operator's changes: some 40 a second.
+const CHANGE_PAUSE: Duration = Duration::from_millis(20);
 const RUN: Duration = Duration::from_secs(60);
-/// Bad clients at once; each is gone before the next one of its place comes.
-const BAD_CLIENTS: u64 = 4;
-/// A string of 9P has up to 65,535 bytes, and a message of this head up to 64 KiB and its header.
-const NAME_BYTES: usize = 60_000;
-/// Time between a bad client's end and the next one of its place.
-const BAD_PAUSE: Duration = Duration::from_millis(100);
-/// How often the platform looks at the head's memory.
+/// How often the platform looks at the heads' memory.
 const PLATFORM_INTERVAL: Duration = Duration::from_millis(20);
+/// After so many kills a head is not started again, and after so many such heads the run ends.
+const MOST_KILLS: u32 = 3;
+const MOST_GIVEN_UP: u64 = 2;
 
 fn main() {
     run_case(case)
@@ -35,6 +37,32 @@
     figure.and_then(|text| text.trim().trim_end_matches(" kB").parse().ok()).unwrap_or(0)
 }
 
+/// The settings of a tenant, in their N-th form: only the size of a large read differs.
+fn tenant(number: u64, form: u64) -> Value {
+    let export = |index: u64| {
+        json!({"name": format!("press-{number:02}-{index:02}"), "tree": "horvat", "plan": "osnovni", "shard": 3,
+            "volume": format!("{:016x}", 0xb100 + 100 * number + index), "heads": 3, "readClass": "citanje",
+            "writeClass": "nova-datoteka", "largeClass": "izvoz", "largeBytes": 32_768 + form, "unitBytes": 16_384})
+    };
+    json!({"exports": (0..EXPORTS).map(export).collect::<Vec<Value>>()})
+}
+
+/// Puts a tenant in place at any head that answers; whether that was promised.
+fn put_tenant(fleet: &[FleetHead], number: u64, form: u64, record: &Record) -> bool {
+    let (request, body) = (format!("PUT /v1/tenants/shop-{number:02}"), tenant(number, form).to_string());
+    let headers = format!("Idempotency-Key: shop-{number}-{form}\r\n");
+    let at = &fleet[(number % 3) as usize];
+    at.change(&request, &headers, &body, record).is_some_and(|status| matches!(status, 200 | 201))
+}
+
+/// What became of one head.
+#[derive(Default)]
+struct Fate {
+    /// KiB that it held at the most.
+    most_kib: u64,
+    killed: u32,
+}
+
 fn case() -> i32 {
     let record = Record::create(&root().join("review/3"));
     let files = FileServer::start("s-1", &["horvat"], Duration::from_millis(5), &record);
@@ -42,96 +70,113 @@
     let other = Brick::start("s-2", 0, (15_000, 30_000), None, 1, &record);
     let discovery = Discovery::start(vec![other.entry()]);
     let folder = Folder::create("3");
-    let ninep = free_address();
-    let config = json!({"name": "n0", "listen": free_address().to_string(), "discovery": discovery.address.to_string(),
-        "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS},
-        "known": discovery.known(), "settings": settings(1)});
-    let operator = format!(
-        "(ninep (listen \"{ninep}\"))\n(tenant horvat (export press (tree \"horvat\") (volume \"b1\") (plan osnovni)\n  \
-         (shard 3) (heads 1) (read-class citanje) (write-class nova-datoteka) (large-class izvoz)))\n\
-         (box \"s-1\" (address \"{}\") (shard 3))\n",
-        files.address
-    );
-    let head_files = HeadFiles::write(&folder.0, &config, Some(&operator));
-    let mut head = head_files.start(&record);
-    record.say(format!("the head holds {} MiB of {MEMORY_MB}", resident_kib(head.id()) / 1024));
+    let fleet = three_heads_with(&folder.0, &discovery, &files, MEMORY_MB, SOCKETS);
+    let heads: Vec<Head> = fleet.iter().map(|head| head.files.start(&record)).collect();
+    fleet[0].begin(&record);
+    for number in 0..TENANTS {
+        let begun = Instant::now();
+        while !put_tenant(&fleet, number, 0, &record) {
+            assert!(begun.elapsed() < Duration::from_secs(20), "a tenant was not put in place");
+            std::thread::sleep(Duration::from_millis(200));
+        }
+    }
+    let at_first: Vec<u64> = heads.iter().map(|head| resident_kib(head.id()) / 1024).collect();
+    record.say(format!(
+        "{TENANTS} tenants with {EXPORTS} exports each; the heads hold {at_first:?} MiB of {MEMORY_MB}"
+    ));
 
     let is_over = AtomicBool::new(false);
-    let (served, unanswered, bad) = (AtomicU64::new(0), AtomicU64::new(0), AtomicU64::new(0));
-    let mut was_killed_at = None;
-    let mut most_kib = 0;
-    let begun = Instant::now();
+    let (changes, served, unanswered) = (AtomicU64::new(0), AtomicU64::new(0), AtomicU64::new(0));
+    let given_up = AtomicU64::new(0);
+    let mut fates = Vec::new();
     std::thread::scope(|scope| {
-        scope.spawn(|| read_on(ninep, &record, &is_over, &served, &unanswered));
+        scope.spawn(|| read_on(&fleet[0], &record, &is_over, &served, &unanswered));
         if trouble() {
-            for place in 0..BAD_CLIENTS {
-                let (record, is_over, bad) = (&record, &is_over, &bad);
-                scope.spawn(move || come_and_go(ninep, place, record, is_over, bad));
-            }
-        }
-        // The platform: over memory_mb the head is killed.
-        while begun.elapsed() < RUN && was_killed_at.is_none() {
-            let kib = resident_kib(head.id());
-            most_kib = most_kib.max(kib);
-            if kib > MEMORY_MB * 1024 {
-                head.kill();
-                was_killed_at = Some(begun.elapsed());
-                record.line(format!("platform: the head holds {kib} KiB, over its limit, and is killed"));
-            }
-            std::thread::sleep(PLATFORM_INTERVAL);
+            scope.spawn(|| change_on(&fleet, &record, &is_over, &changes));
         }
-        std::thread::sleep(Duration::from_millis(500));
+        let platforms: Vec<_> = heads
+            .into_iter()
+            .zip(&fleet)
+            .map(|(head, files)| scope.spawn(|| keep_up(head, files, &given_up, &record)))
+            .collect();
+        fates = platforms.into_iter().filter_map(|platform| platform.join().ok()).collect();
         is_over.store(true, Ordering::SeqCst);
     });
-    let (served, unanswered, bad) = (served.into_inner(), unanswered.into_inner(), bad.into_inner());
-    record.say(format!("{bad} bad clients came and went; the head held {} MiB at the most", most_kib / 1024));
-    record.say(format!("the sound client: {served} reads served, {unanswered} without an answer"));
-    match was_killed_at {
-        Some(after) => {
-            record.say(format!("over its limit and killed after {after:.1?}"));
-            BROKEN
+    for (head, Fate { most_kib, killed }) in fleet.iter().zip(&fates) {
+        let name = &head.files.name;
+        record.say(format!(
+            "{name} held {} MiB at the most; over its limit and killed {killed} times",
+            most_kib / 1024
+        ));
+    }
+    let (changes, served, unanswered) = (changes.into_inner(), served.into_inner(), unanswered.into_inner());
+    record.say(format!(
+        "{changes} changes promised; a client of h1: {served} reads served, {unanswered} unanswered"
+    ));
+    match () {
+        () if fates.len() < fleet.len() || served == 0 => COULD_NOT_RUN,
+        () if fates.iter().any(|fate| fate.killed > 0) => BROKEN,
+        () => HELD,
+    }
+}
+
+/// The platform: over memory_mb a head is killed, and started again under its name and addresses with its disk.
+fn keep_up(mut head: Head, files: &FleetHead, given_up: &AtomicU64, record: &Record) -> Fate {
+    let mut fate = Fate::default();
+    let begun = Instant::now();
+    while begun.elapsed() < RUN && given_up.load(Ordering::SeqCst) < MOST_GIVEN_UP {
+        let kib = resident_kib(head.id());
+        fate.most_kib = fate.most_kib.max(kib);
+        if kib > MEMORY_MB * 1024 {
+            record.line(format!("platform: {} holds {kib} KiB, over its limit, and is killed", head.name));
+            head.kill();
+            fate.killed += 1;
+            let again = if fate.killed < MOST_KILLS { files.files.try_start(record) } else { None };
+            let Some(again) = again else {
+                record.line(format!("platform: {} is not started again", files.files.name));
+                given_up.fetch_add(1, Ordering::SeqCst);
+                return fate;
+            };
+            head = again;
+        }
+        std::thread::sleep(PLATFORM_INTERVAL);
+    }
+    fate
+}
+
+/// Operators change one tenant after the other.
+fn change_on(fleet: &[FleetHead], record: &Record, is_over: &AtomicBool, changes: &AtomicU64) {
+    let mut form = 0;
+    while !is_over.load(Ordering::SeqCst) {
+        form += 1;
+        for number in 0..TENANTS {
+            if put_tenant(fleet, number, form, record) {
+                changes.fetch_add(1, Ordering::SeqCst);
+            }
+            std::thread::sleep(CHANGE_PAUSE);
         }
-        None if unanswered > 0 => BROKEN,
-        None if served > 0 => HELD,
-        None => COULD_NOT_RUN,
     }
 }
 
-/// A sound client that reads a file again and again.
+/// A client that reads a file through h1 again and again, with a new session after an end.
 fn read_on(
-    ninep: SocketAddr,
+    head: &FleetHead,
     record: &Record,
     is_over: &AtomicBool,
     served: &AtomicU64,
     unanswered: &AtomicU64,
 ) {
-    let Ok(mut client) = FileClient::attach("desk", ninep, "press", record) else { return };
-    if client.walk(1, &["naklada.txt"]).and_then(|_| client.open(1, 0)).is_err() {
-        return;
-    }
+    let quiet = record;
     while !is_over.load(Ordering::SeqCst) {
+        std::thread::sleep(Duration::from_millis(100));
+        let Ok(mut client) = FileClient::attach("desk", head.ninep, "press-00-00", quiet) else { continue };
+        if client.walk(1, &["naklada.txt"]).and_then(|_| client.open(1, 0)).is_err() {
+            continue;
+        }
         match client.read(1, 0, 100) {
-            Ok(text) if text == "naklada" => served.fetch_add(1, Ordering::SeqCst),
-            // Refused or failed: a final answer too.
-            Err(ename) if ename != "the connection ended" => 0,
-            _ => {
-                unanswered.fetch_add(1, Ordering::SeqCst);
-                return;
-            }
+            Ok(_) => served.fetch_add(1, Ordering::SeqCst),
+            Err(ename) if ename == "the connection ended" => unanswered.fetch_add(1, Ordering::SeqCst),
+            Err(_) => 0,
         };
-        std::thread::sleep(Duration::from_millis(50));
-    }
-}
-
-/// Bad clients, one after the other: each connects, attaches under a long name of its own, and goes.
-fn come_and_go(ninep: SocketAddr, place: u64, record: &Record, is_over: &AtomicBool, count: &AtomicU64) {
-    let mut number = 0;
-    while !is_over.load(Ordering::SeqCst) {
-        number += 1;
-        let name = format!("{place}-{number:06}-{}", "x".repeat(NAME_BYTES));
-        if FileClient::attach(&name, ninep, "press", record).is_ok() {
-            count.fetch_add(1, Ordering::SeqCst);
-        }
-        std::thread::sleep(BAD_PAUSE);
     }
 }
--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -22,6 +22,17 @@
 
 /// Writes the files of three heads `h1`, `h2` and `h3`, whose exports lie at one brick of shard 3.
 pub fn three_heads(folder: &Path, discovery: &Discovery, brick: &FileServer) -> Vec<FleetHead> {
+    three_heads_with(folder, discovery, brick, 192, 1024)
+}
+
+/// The same with other limits.
+pub fn three_heads_with(
+    folder: &Path,
+    discovery: &Discovery,
+    brick: &FileServer,
+    memory_mb: u64,
+    sockets: u64,
+) -> Vec<FleetHead> {
     let stores: Vec<SocketAddr> = (0..3).map(|_| free_address()).collect();
     let voters: String =
         stores.iter().enumerate().map(|(index, at)| format!(" \"h{}={at}\"", index + 1)).collect();
@@ -30,7 +41,7 @@
         let (ninep, admin) = (free_address(), free_address());
         let config = json!({"name": name, "listen": free_address().to_string(),
             "discovery": discovery.address.to_string(), "seed": format!("8c1f30d27a5be96{index}"),
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets},
             "known": discovery.known(), "settings": settings(3)});
         let operator = format!(
             "(ninep (listen \"{ninep}\"))\n(admin (listen \"{admin}\") (token \"{TOKEN}\"))\n\
@@ -49,12 +60,8 @@
 impl FleetHead {
     /// A call of the administration API; `None` where no answer comes.
     pub fn call(&self, request: &str, headers: &str, body: &str, record: &Record) -> Option<HttpMessage> {
-        let text = format!(
-            "{request} HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer {TOKEN}\r\n{headers}Content-Length: {}\r\n\r\n{body}",
-            body.len()
-        );
         record.line(format!("operator: {request} {} {body} at {}", headers.trim(), self.files.name));
-        let answer = call_once(self.admin, &text, Duration::from_secs(3));
+        let answer = self.send(request, headers, body);
         let words = answer.as_ref().map_or("no answer".to_owned(), |answer| {
             let version = answer.header("fleet-version").unwrap_or("none");
             format!(
@@ -67,6 +74,22 @@
         answer
     }
 
+    /// A change whose body is recorded by its length; the status, or `None` where no answer comes.
+    pub fn change(&self, request: &str, headers: &str, body: &str, record: &Record) -> Option<u16> {
+        let answer = self.send(request, headers, body);
+        let status = answer.map(|answer| answer.status());
+        record.line(format!("operator: {request}, {} bytes, at {}: {status:?}", body.len(), self.files.name));
+        status
+    }
+
+    fn send(&self, request: &str, headers: &str, body: &str) -> Option<HttpMessage> {
+        let text = format!(
+            "{request} HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer {TOKEN}\r\n{headers}Content-Length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        call_once(self.admin, &text, Duration::from_secs(3))
+    }
+
     /// Puts the export `press` of the tenant `horvat` in place; the version at which that is settled.
     pub fn put_export(&self, tree: &str, key: &str, record: &Record) -> u64 {
         let body = json!({"tree": tree, "volume": "b1", "plan": "osnovni", "shard": 3, "readClass": "citanje",
--- a/review/standin/head.rs
+++ b/review/standin/head.rs
@@ -100,6 +100,11 @@
     /// Starts the head with the `run` command of the deploy file, with an empty `$TMPDIR`, and waits until it answers
     /// health checks.
     pub fn start(&self, record: &Record) -> Head {
+        self.try_start(record).unwrap_or_else(|| panic!("head {} did not become ready", self.name))
+    }
+
+    /// The same; `None` where it ends, or is not ready within 30 s.
+    pub fn try_start(&self, record: &Record) -> Option<Head> {
         let deploy = std::fs::read_to_string(root().join("deploy/balancer.toml")).expect("the deploy file");
         let line = deploy.lines().find_map(|line| line.strip_prefix("run = \"")).expect("a run command");
         let run = line.trim_end().trim_end_matches('"');
@@ -113,9 +118,12 @@
         PROCESSES.lock().expect("processes").push(child.id());
         record.line(format!("platform: starts head {}, process {}", self.name, child.id()));
         let mut head = Head { name: self.name.clone(), listen: self.listen, child: Some(child) };
-        head.wait_until_ready();
+        if !head.wait_until_ready() {
+            record.line(format!("head {}: is not ready", self.name));
+            return None;
+        }
         record.line(format!("head {}: answers health checks", self.name));
-        head
+        Some(head)
     }
 
     /// Runs a command of the program's command line with this head's files; its success and what it said.
@@ -140,18 +148,18 @@
 }
 
 impl Head {
-    fn wait_until_ready(&mut self) {
+    fn wait_until_ready(&mut self) -> bool {
         let begun = Instant::now();
         loop {
             let ended =
                 self.child.as_mut().is_some_and(|child| child.try_wait().is_ok_and(|end| end.is_some()));
             if ended || begun.elapsed() > Duration::from_secs(30) {
-                panic!("head {} did not become ready", self.name);
+                return false;
             }
             let answer =
                 call_once(self.listen, "GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n", Duration::from_secs(1));
             if answer.is_some_and(|answer| answer.status() == 200) {
-                return;
+                return true;
             }
             std::thread::sleep(Duration::from_millis(10));
         }
