cluster: metrics of the memory that the replicated state takes up

Change: show-stat has app_fleet_view_bytes, _follower_view_bytes, _outcomes, _outcome_bytes, _snapshot_bytes, _log_entries and _log_bytes. The bytes are estimates from the contents (replication::heap_size), so that they do not depend on the allocator.

--- a/crates/cluster/src/handle/metrics.rs
+++ b/crates/cluster/src/handle/metrics.rs
@@ -32,8 +32,24 @@
             ("fleet_repairs", status.repairs),
             ("fleet_frames_refused", status.rejected_connections),
         ];
+        metrics.extend(self.memory_metrics());
         metrics.extend(status.depth().map(|depth| ("fleet_depth", depth)));
         metrics.extend(self.traffic().as_metrics(CLUSTER_TRAFFIC));
         metrics
     }
+
+    /// The memory that the parts of the replicated state take up, in bytes as estimated, and their counts.
+    fn memory_metrics(&self) -> [(&'static str, u64); 7] {
+        let state = self.member.state_machine.memory();
+        let (log_entries, log_bytes) = self.member.log.memory();
+        [
+            ("fleet_view_bytes", state.view as u64),
+            ("fleet_follower_view_bytes", state.follower_view as u64),
+            ("fleet_outcomes", state.outcome_count as u64),
+            ("fleet_outcome_bytes", state.outcomes as u64),
+            ("fleet_snapshot_bytes", state.snapshot as u64),
+            ("fleet_log_entries", log_entries as u64),
+            ("fleet_log_bytes", log_bytes as u64),
+        ]
+    }
 }
--- a/crates/cluster/src/raft_log.rs
+++ b/crates/cluster/src/raft_log.rs
@@ -6,7 +6,10 @@
 use crate::disk::{Disk, WriteError, key};
 use crate::types::{Entry, LogId, RaftTypes, StorageError, Vote};
 use openraft::storage::{LogFlushed, RaftLogStorage};
-use openraft::{AnyError, ErrorSubject, ErrorVerb, LogState, OptionalSend, RaftLogReader, StorageIOError};
+use openraft::{
+    AnyError, EntryPayload, ErrorSubject, ErrorVerb, LogState, OptionalSend, RaftLogReader, StorageIOError,
+};
+use sedgerun_replication::heap_size::HeapSize;
 use sedgerun_replication::record::RecordType;
 use std::collections::BTreeMap;
 use std::fmt::{Debug, Display};
@@ -44,6 +47,15 @@
     storage_error(ErrorVerb::Delete, error)
 }
 
+/// Estimate of the memory that an entry takes up, in bytes.
+fn entry_bytes(entry: &Entry) -> usize {
+    let changes = match &entry.payload {
+        EntryPayload::Normal(changes) => changes.heap_bytes(),
+        EntryPayload::Membership(_) | EntryPayload::Blank => 0,
+    };
+    size_of::<Entry>() + changes
+}
+
 impl RaftLog {
     /// Creates the log with the contents of the disk at the start.
     pub fn new(
@@ -68,6 +80,12 @@
         contents.entries.values().next_back().map(|entry| entry.log_id).or(contents.purged)
     }
 
+    /// Number of entries in memory, and an estimate of the memory that they take up, in bytes.
+    pub fn memory(&self) -> (usize, usize) {
+        let contents = self.lock();
+        (contents.entries.len(), contents.entries.values().map(entry_bytes).sum())
+    }
+
     fn lock(&self) -> MutexGuard<'_, LogContents> {
         self.contents.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/cluster/src/state_machine.rs
+++ b/crates/cluster/src/state_machine.rs
@@ -46,6 +46,21 @@
     snapshot: Option<(SnapshotMeta, Arc<Vec<u8>>)>,
 }
 
+/// Estimates of the memory that the parts of a state machine take up, in bytes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StateMemory {
+    /// The view of the applied state.
+    pub view: usize,
+    /// The view received as a follower, if it is newer.
+    pub follower_view: usize,
+    /// Number of remembered outcomes.
+    pub outcome_count: usize,
+    /// The remembered outcomes.
+    pub outcomes: usize,
+    /// The encoded last snapshot.
+    pub snapshot: usize,
+}
+
 impl MachineData {
     /// The newer of the applied state and the follower's view. Both are versions of one history.
     fn view(&self) -> &View {
@@ -163,6 +178,18 @@
         self.lock().follower_view.version
     }
 
+    /// The memory that the parts of the state machine take up.
+    pub fn memory(&self) -> StateMemory {
+        let data = self.lock();
+        StateMemory {
+            view: data.state.view.heap_bytes(),
+            follower_view: data.follower_view.heap_bytes(),
+            outcome_count: data.state.remembered_outcomes().len(),
+            outcomes: data.state.outcome_bytes(),
+            snapshot: data.snapshot.as_ref().map_or(0, |(_, bytes)| bytes.len()),
+        }
+    }
+
     /// The last applied membership.
     pub fn membership(&self) -> Membership {
         self.lock().membership.clone()
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -21,12 +21,14 @@
 //! | [`subscribe`] | messages between a follower and its upstream |
 //! | [`upstream`] | a head's responses to its followers |
 //! | [`transfer_permits`] | limit on the large transfers that a head has in progress |
+//! | [`heap_size`] | estimates of the memory that the above take up |
 //! | [`digest`], [`time`] | digests of message parts; the unit of time |
 
 pub mod digest;
 pub mod election;
 pub mod follow;
 pub mod greeting;
+pub mod heap_size;
 pub mod peer;
 pub mod record;
 pub mod relay;
--- a/crates/replication/src/state.rs
+++ b/crates/replication/src/state.rs
@@ -5,6 +5,7 @@
 //! [`Command`], [`Change`] and [`ChangeOutcome`] is part of the log's format. The texts of outcomes are part
 //! of the state, as recent outcomes are stored in it.
 
+use crate::heap_size::{HeapSize, node_bytes};
 use crate::store::StoreId;
 use crate::view::{ExportFields, Object, ObjectKey, VersionedObject, View, VoterRules};
 use serde::{Deserialize, Serialize};
@@ -161,6 +162,15 @@
         &self.outcome_order
     }
 
+    /// Estimate of the memory that the remembered outcomes take up, in bytes.
+    pub fn outcome_bytes(&self) -> usize {
+        let remembered = self.outcomes.iter().map(|(key, (change, outcome))| {
+            2 * key.heap_bytes() + size_of::<String>() + change.heap_bytes() + outcome.heap_bytes()
+        });
+        let entry_bytes = size_of::<(String, (Change, ChangeOutcome))>();
+        node_bytes(self.outcomes.len(), entry_bytes) + remembered.sum::<usize>()
+    }
+
     /// Whether another tenant has an export of this name. Export names are unique over all tenants, as
     /// clients attach to an export by its name alone.
     fn has_export_elsewhere(&self, export: &str, tenant: &str) -> bool {
--- a/crates/replication/src/view.rs
+++ b/crates/replication/src/view.rs
@@ -9,6 +9,7 @@
 //! A [`View`] belongs to one head. It does not depend on that head's settings and does not check whether the
 //! head can serve an export.
 
+use crate::heap_size::HeapSize;
 use crate::store::StoreId;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -213,6 +214,15 @@
         Chunk { objects, up_to: self.version, version: self.version, restart }
     }
 
+    /// Estimate of the memory that the view takes up, in bytes.
+    pub fn heap_bytes(&self) -> usize {
+        self.tenants.heap_bytes()
+            + self.bans.heap_bytes()
+            + self.rules.heap_bytes()
+            + self.by_version.heap_bytes()
+            + self.versions.heap_bytes()
+    }
+
     /// The number of tombstones kept.
     pub fn tombstones(&self) -> usize {
         self.tombstones
