--- a/crates/cluster/src/change/batch.rs
+++ b/crates/cluster/src/change/batch.rs
@@ -2,6 +2,7 @@
 //! each voter syncs them together.
 
 use super::CHANGE_TIMEOUT;
+use super::capacity::{Admission, Reservation};
 use crate::change_error::CommitError;
 use crate::disk::failpoint;
 use crate::member::Member;
@@ -9,6 +10,7 @@
 use crate::types::{PeerResponse, RaftTypes, VoterAddress};
 use openraft::error::{ClientWriteError, RaftError};
 use openraft::raft::ClientWriteResponse;
+use sedgerun_replication::change_batch::ChangeBatch;
 use sedgerun_replication::state::Change;
 use sedgerun_replication::store::StoreId;
 use std::sync::Arc;
@@ -20,6 +22,8 @@
 pub const MAX_WAITING_CHANGES: usize = 1024;
 /// Maximum number of changes in one log entry.
 const MAX_BATCH: usize = 256;
+/// Memory of the changes in one log entry, in bytes, unless its first change is larger.
+const MAX_BATCH_BYTES: usize = 1 << 20;
 /// Maximum number of uncommitted log entries with changes.
 const MAX_ENTRIES_IN_FLIGHT: usize = 2;
 
@@ -27,10 +31,17 @@
     Result<ClientWriteResponse<RaftTypes>, RaftError<StoreId, ClientWriteError<StoreId, VoterAddress>>>;
 
 impl Member {
-    /// Commits a change on this head as leader, in a batch with other queued changes.
+    /// Commits a change on this head as leader, in a batch with other queued changes, or refuses it.
     pub(super) async fn commit(&self, change: Change) -> CommitResult {
+        let reservation = match self.admit(&change).await? {
+            Admission::Admitted(reservation) => reservation,
+            Admission::Refused(outcome) => return Ok(outcome),
+        };
         let (result, committed) = oneshot::channel();
-        self.changes.send(PendingChange { change, result }).await.map_err(|_| CommitError::Ended)?;
+        self.changes
+            .send(PendingChange { change, result, reservation })
+            .await
+            .map_err(|_| CommitError::Ended)?;
         let committed = committed.await.map_err(|_| CommitError::Ended)?;
         failpoint("before the response to a client");
         committed
@@ -53,24 +64,51 @@
         let in_flight = Arc::new(Semaphore::new(MAX_ENTRIES_IN_FLIGHT));
         while let Some(first) = waiting.recv().await {
             let Ok(permit) = Arc::clone(&in_flight).acquire_owned().await else { return };
-            let (mut changes, mut results) = (vec![first.change], vec![first.result]);
-            while changes.len() < MAX_BATCH {
-                let Ok(PendingChange { change, result }) = waiting.try_recv() else { break };
-                changes.push(change);
-                results.push(result);
-            }
+            let Batch { changes, results, reservations } = Batch::collect(first, &mut waiting);
+            let batch = match ChangeBatch::new(&changes) {
+                Ok(batch) => batch,
+                Err(error) => {
+                    fail_all(results, &CommitError::Encode(error));
+                    continue;
+                }
+            };
             let member = Arc::clone(&self);
             tokio::spawn(async move {
                 // The consensus library may never complete a write, as when this head loses the leadership.
                 // Without the timeout the entry would hold its permit forever.
-                let written = tokio::time::timeout(CHANGE_TIMEOUT, member.raft.client_write(changes)).await;
-                drop(permit);
+                let written = tokio::time::timeout(CHANGE_TIMEOUT, member.raft.client_write(batch)).await;
+                drop((permit, reservations));
                 send_results(written, results);
             });
         }
     }
 }
 
+/// Changes that become one log entry.
+struct Batch {
+    changes: Vec<Change>,
+    results: Vec<oneshot::Sender<CommitResult>>,
+    reservations: Vec<Reservation>,
+}
+
+impl Batch {
+    /// Collects the queued changes, up to the limits on one entry.
+    fn collect(first: PendingChange, waiting: &mut mpsc::Receiver<PendingChange>) -> Batch {
+        let mut batch = Batch { changes: Vec::new(), results: Vec::new(), reservations: Vec::new() };
+        let mut next = Some(first);
+        let mut bytes = 0;
+        while let Some(PendingChange { change, result, reservation }) = next {
+            bytes += reservation.change_bytes();
+            batch.changes.push(change);
+            batch.results.push(result);
+            batch.reservations.push(reservation);
+            let is_full = batch.changes.len() >= MAX_BATCH || bytes >= MAX_BATCH_BYTES;
+            next = if is_full { None } else { waiting.try_recv().ok() };
+        }
+        batch
+    }
+}
+
 /// Sends the result of a batch to the requesters of its changes.
 fn send_results(written: Result<ClientWriteResult, Elapsed>, results: Vec<oneshot::Sender<CommitResult>>) {
     let error = match written {
@@ -87,5 +125,10 @@
         Ok(Err(error)) => CommitError::Raft(Box::new(error)),
         Err(_) => CommitError::NoMajority,
     };
+    fail_all(results, &error);
+}
+
+/// Reports an error to the requesters of a batch's changes.
+fn fail_all(results: Vec<oneshot::Sender<CommitResult>>, error: &CommitError) {
     results.into_iter().for_each(|result| drop(result.send(Err(error.clone()))));
 }
--- /dev/null
+++ b/crates/cluster/src/change/capacity.rs
@@ -0,0 +1,131 @@
+//! Limits on the memory for changes: those that wait to be committed, those in the log that are not committed,
+//! and the state that they would lead to.
+//!
+//! Only the leader checks them, before a change becomes a log entry: all voters apply an entry alike, whatever
+//! their own limits are.
+
+use crate::change_error::CommitError;
+use crate::member::Member;
+use openraft::{EntryPayload, ServerState};
+use sedgerun_replication::heap_size::HeapSize;
+use sedgerun_replication::state::{Change, ChangeOutcome};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// Bytes of all changes that wait to be committed.
+#[derive(Clone, Copy, Debug, Default)]
+struct Reserved {
+    /// Memory of the changes themselves.
+    changes: usize,
+    /// Memory that they add to the state.
+    growth: usize,
+}
+
+/// The memory that is reserved for changes that wait to be committed.
+#[derive(Clone, Debug, Default)]
+pub struct PendingMemory(Arc<Mutex<Reserved>>);
+
+impl PendingMemory {
+    fn lock(&self) -> MutexGuard<'_, Reserved> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// The memory of one change that waits to be committed, until it is dropped.
+#[derive(Debug)]
+pub struct Reservation {
+    pending: PendingMemory,
+    reserved: Reserved,
+}
+
+impl Reservation {
+    /// Memory of the change itself, in bytes.
+    pub fn change_bytes(&self) -> usize {
+        self.reserved.changes
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        let mut reserved = self.pending.lock();
+        reserved.changes -= self.reserved.changes;
+        reserved.growth -= self.reserved.growth;
+    }
+}
+
+/// What the leader does with a change.
+pub(super) enum Admission {
+    /// It is committed.
+    Admitted(Reservation),
+    /// It is refused, with this outcome. It is in no log.
+    Refused(ChangeOutcome),
+}
+
+impl Member {
+    /// Decides whether a change may become a log entry.
+    ///
+    /// # Errors
+    /// The change cannot be committed now; a later attempt may succeed.
+    pub(super) async fn admit(&self, change: &Change) -> Result<Admission, CommitError> {
+        if self.raft.metrics().borrow().state == ServerState::Leader {
+            self.check_uncommitted_log()?;
+            if let Some(refusal) = self.exceeds_state_limit(change)
+                && !self.has_first_attempt(change).await?
+            {
+                return Ok(Admission::Refused(refusal));
+            }
+        }
+        self.reserve(change).map(Admission::Admitted)
+    }
+
+    fn check_uncommitted_log(&self) -> Result<(), CommitError> {
+        let (bytes, limit) = (self.log.uncommitted_bytes(), self.settings.memory.uncommitted_bytes);
+        if bytes > limit { Err(CommitError::UncommittedLog { bytes, limit }) } else { Ok(()) }
+    }
+
+    /// The refusal of a change that would take the state over its limit.
+    fn exceeds_state_limit(&self, change: &Change) -> Option<ChangeOutcome> {
+        let limit = self.settings.memory.state_bytes;
+        let (objects, growth) = self.state_machine.state_bytes(&change.command);
+        let bytes = objects + growth + self.pending.lock().growth;
+        (growth > 0 && bytes > limit).then(|| {
+            ChangeOutcome::Conflict(format!(
+                "the change would take the fleet's tenants and bans to {bytes} bytes of memory, over the {limit} \
+                 that limits.memory_mb allows"
+            ))
+        })
+    }
+
+    /// Whether a change was committed before, or may still be committed: then its retry is not refused.
+    async fn has_first_attempt(&self, change: &Change) -> Result<bool, CommitError> {
+        // Confirms that this head has applied what any leader had committed.
+        self.linearizable_version().await.map_err(|_| CommitError::NoMajority)?;
+        if self.state_machine.remembers(&change.key) {
+            return Ok(true);
+        }
+        let uncommitted = self.log.entries_after(self.state_machine.applied_index()).await;
+        let uncommitted = uncommitted.map_err(|error| CommitError::Log(error.to_string()))?;
+        for entry in uncommitted {
+            if let EntryPayload::Normal(batch) = entry.payload
+                && batch.changes().map_err(CommitError::Encode)?.iter().any(|first| first.key == change.key)
+            {
+                return Ok(true);
+            }
+        }
+        Ok(false)
+    }
+
+    /// Reserves the memory for a change. A change that is larger than the limit is admitted if no other waits.
+    fn reserve(&self, change: &Change) -> Result<Reservation, CommitError> {
+        let limit = self.settings.memory.pending_bytes;
+        let (_, growth) = self.state_machine.state_bytes(&change.command);
+        let reserved = Reserved { changes: change.heap_bytes(), growth };
+        let mut all = self.pending.lock();
+        let bytes = all.changes + reserved.changes;
+        if bytes > limit && all.changes > 0 {
+            return Err(CommitError::PendingChanges { bytes, limit });
+        }
+        all.changes = bytes;
+        all.growth += growth;
+        Ok(Reservation { pending: self.pending.clone(), reserved })
+    }
+}
--- a/crates/cluster/src/change/mod.rs
+++ b/crates/cluster/src/change/mod.rs
@@ -4,16 +4,19 @@
 //! so a change is applied once even if the response to the first attempt is lost.
 //!
 //! - `batch`: the leader writes changes in batches
+//! - `capacity`: the leader refuses changes that memory does not suffice for
 //! - `forward`: requests to the leader
 //! - `read`: linearizable reads
 //!
 //! The errors are in `change_error`.
 
 mod batch;
+mod capacity;
 mod forward;
 mod read;
 
 pub use batch::MAX_WAITING_CHANGES;
+pub use capacity::{PendingMemory, Reservation};
 
 use crate::change_error::{AttemptError, ClusterRequestError, CommitError};
 use crate::environment::{EntropyError, random};
--- a/crates/cluster/src/change_error.rs
+++ b/crates/cluster/src/change_error.rs
@@ -3,6 +3,7 @@
 use crate::types::VoterAddress;
 use openraft::error::{CheckIsLeaderError, ClientWriteError, RaftError};
 use sedgerun_replication::follow::Peer;
+use sedgerun_replication::record::EncodeError;
 use sedgerun_replication::store::StoreId;
 use std::io;
 use std::net::SocketAddr;
@@ -108,6 +109,30 @@
     /// A majority of the voters did not commit the change in time.
     #[error("no majority of the voters responded in time")]
     NoMajority,
+    /// The change cannot be encoded or decoded.
+    #[error(transparent)]
+    Encode(EncodeError),
+    /// The log cannot be read.
+    #[error("{0}")]
+    Log(String),
+    /// The changes that wait to be committed take up the memory for them.
+    #[error(
+        "changes of {bytes} bytes would wait to be committed, over the {limit} that limits.memory_mb allows"
+    )]
+    PendingChanges {
+        /// Memory of the waiting changes with this one.
+        bytes: usize,
+        /// The limit.
+        limit: usize,
+    },
+    /// The entries that no majority has committed take up the memory for them.
+    #[error("{bytes} bytes of the log wait for a majority, over the {limit} that limits.memory_mb allows")]
+    UncommittedLog {
+        /// Size of the uncommitted entries.
+        bytes: usize,
+        /// The limit.
+        limit: usize,
+    },
     /// The task that writes changes has ended.
     #[error("this head has stopped committing changes")]
     Ended,
--- a/crates/cluster/src/disk/contents.rs
+++ b/crates/cluster/src/disk/contents.rs
@@ -2,16 +2,16 @@
 
 use super::error::StoreError;
 use super::key;
+use super::stored_log::StoredLog;
 use crate::environment::random;
-use crate::types::{Entry, LogId, SnapshotMeta, Vote};
-use redb::{Database, ReadOnlyTable, ReadTransaction, ReadableDatabase, ReadableTable, TableDefinition};
+use crate::types::{LogId, SnapshotMeta, Vote};
+use redb::{Database, ReadOnlyTable, ReadableDatabase, TableDefinition};
 use sedgerun_replication::record::{self, RecordType};
 use sedgerun_replication::store::StoreId;
 use sedgerun_replication::view::View;
 use sedgerun_replication::watermark::{Watermark, Watermarks};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
 
 /// Records by key ([`key`]).
 pub(super) const META: TableDefinition<'_, &str, &[u8]> = TableDefinition::new("meta");
@@ -29,6 +29,9 @@
     pub origin: Option<u64>,
 }
 
+/// The metadata of a snapshot and its encoded state.
+pub type EncodedSnapshot = (SnapshotMeta, Vec<u8>);
+
 /// The contents of a store when it was opened.
 pub struct OpenedStore {
     /// The identity of the store, in its new incarnation if one has begun.
@@ -39,12 +42,14 @@
     pub committed: Option<LogId>,
     /// The last entry that a snapshot replaced.
     pub purged: Option<LogId>,
-    /// The log, by index.
-    pub log: BTreeMap<u64, Entry>,
+    /// The log.
+    pub log: StoredLog,
+    /// Position of the last entry of the log; `None` if it has none.
+    pub last: Option<LogId>,
     /// The watermarks of other stores.
     pub watermarks: Watermarks,
     /// The last snapshot and its encoded state.
-    pub snapshot: Option<(SnapshotMeta, Vec<u8>)>,
+    pub snapshot: Option<EncodedSnapshot>,
     /// The view that the head received as a follower.
     pub followed: View,
 }
@@ -53,7 +58,7 @@
     /// The watermark of the store when it was opened: the term of its vote and its last log position.
     pub fn watermark(&self) -> Watermark {
         let snapshot = self.snapshot.as_ref().and_then(|(meta, _)| meta.last_log_id);
-        let last = self.log.values().next_back().map(|entry| entry.log_id).max(self.purged).max(snapshot);
+        let last = self.last.max(self.purged).max(snapshot);
         let position = |at: LogId| (at.leader_id.term, at.index);
         Watermark {
             vote_term: self.vote.map_or(0, |vote| vote.leader_id().term),
@@ -64,12 +69,13 @@
     /// Reads all contents of a database. The identity is still that of the last incarnation.
     pub(super) fn read(database: &Database) -> Result<OpenedStore, StoreError> {
         create_tables(database)?;
-        let transaction = database.begin_read().map_err(redb::Error::from)?;
-        let records = Records { meta: transaction.open_table(META).map_err(redb::Error::from)? };
-        let log = read_log(&transaction)?;
+        let records = Records::of(database)?;
+        let log = StoredLog::of(database)?;
+        log.check()?;
+        let last = log.last()?;
         let identity = match records.read(RecordType::Identity, key::IDENTITY)? {
             Some(identity) => identity,
-            None if !log.is_empty() => return Err(StoreError::MissingIdentity),
+            None if last.is_some() => return Err(StoreError::MissingIdentity),
             None => Identity { store: random()?, incarnation: 0, origin: None },
         };
         Ok(OpenedStore {
@@ -79,6 +85,7 @@
             committed: records.read(RecordType::Position, key::COMMITTED)?,
             purged: records.read(RecordType::Position, key::PURGED)?,
             log,
+            last,
             watermarks: records.read(RecordType::Watermarks, key::WATERMARKS)?.unwrap_or_default(),
             followed: records.read(RecordType::View, key::VIEW)?.unwrap_or_default(),
         })
@@ -94,25 +101,17 @@
     Ok(())
 }
 
-fn read_log(transaction: &ReadTransaction) -> Result<BTreeMap<u64, Entry>, StoreError> {
-    let mut log = BTreeMap::new();
-    let entries = transaction.open_table(LOG).map_err(redb::Error::from)?;
-    for entry in entries.iter().map_err(redb::Error::from)? {
-        let (index, bytes) = entry.map_err(redb::Error::from)?;
-        let index = index.value();
-        let entry = record::decode(RecordType::Entry, bytes.value())
-            .map_err(|source| StoreError::CorruptEntry { index, source })?;
-        log.insert(index, entry);
-    }
-    Ok(log)
-}
-
 /// The records other than log entries.
 struct Records {
     meta: ReadOnlyTable<&'static str, &'static [u8]>,
 }
 
 impl Records {
+    fn of(database: &Database) -> Result<Records, StoreError> {
+        let transaction = database.begin_read().map_err(redb::Error::from)?;
+        Ok(Records { meta: transaction.open_table(META).map_err(redb::Error::from)? })
+    }
+
     fn read<T: DeserializeOwned>(
         &self,
         record_type: RecordType,
@@ -134,7 +133,7 @@
         Ok(Some(value))
     }
 
-    fn read_snapshot(&self) -> Result<Option<(SnapshotMeta, Vec<u8>)>, StoreError> {
+    fn read_snapshot(&self) -> Result<Option<EncodedSnapshot>, StoreError> {
         let Some(meta) = self.read(RecordType::SnapshotMetadata, key::SNAPSHOT_META)? else {
             return Ok(None);
         };
@@ -143,6 +142,14 @@
     }
 }
 
+/// Reads the last snapshot of a store.
+///
+/// # Errors
+/// The database cannot be read, or a record is corrupt.
+pub(super) fn read_snapshot(database: &Database) -> Result<Option<EncodedSnapshot>, StoreError> {
+    Records::of(database)?.read_snapshot()
+}
+
 /// Replaces all contents of a store by these records, in one transaction.
 ///
 /// # Errors
--- a/crates/cluster/src/disk/error.rs
+++ b/crates/cluster/src/disk/error.rs
@@ -84,6 +84,17 @@
     Thread(#[source] io::Error),
 }
 
+/// Why a job was not read.
+#[derive(Debug, Error)]
+pub enum ReadError {
+    /// The writer has ended.
+    #[error("the writer of the store has ended")]
+    WriterEnded,
+    /// The store cannot be read.
+    #[error(transparent)]
+    Store(#[from] StoreError),
+}
+
 /// Why a job was not written. It is cloned for each job of the failed transaction.
 #[derive(Clone, Debug, Error)]
 pub enum WriteError {
--- a/crates/cluster/src/disk/mod.rs
+++ b/crates/cluster/src/disk/mod.rs
@@ -2,11 +2,12 @@
 //! the view that the head received as a follower.
 //!
 //! One writer thread owns the file, so that no other thread blocks on the disk. It writes all queued jobs in
-//! one transaction, which needs one sync. All records have a checksum ([`record`]) and are read when the
+//! one transaction, which needs one sync, and then reads what queued jobs request. All records have a checksum ([`record`]) and are read when the
 //! store is opened; a corrupt record is an error.
 //!
 //! - `open`: opens a store and begins its next incarnation
 //! - `contents`: the contents of a store, and functions that read and replace them
+//! - `stored_log`: the Raft log, read entry by entry
 //! - `writer`: jobs, transactions and syncs
 //! - `error`: typed errors
 //!
@@ -15,17 +16,20 @@
 mod contents;
 mod error;
 mod open;
+mod stored_log;
 mod writer;
 
-pub use contents::{Identity, OpenedStore, replace_contents};
-pub use error::{OpenError, StoreError, WriteError};
+pub use contents::{EncodedSnapshot, Identity, OpenedStore, replace_contents};
+pub use error::{OpenError, ReadError, StoreError, WriteError};
 pub use open::{open, open_database, open_in_simulator};
+pub use stored_log::StoredLog;
 pub use writer::SyncTimes;
 
 use crate::types::{Entry, LogId, RaftTypes, SnapshotMeta};
 use openraft::storage::LogFlushed;
 use sedgerun_replication::record::{self, EncodeError, RecordType};
 use serde::Serialize;
+use std::ops::Range;
 use std::sync::Arc;
 use tokio::sync::{mpsc, oneshot};
 use writer::{Job, JobDone};
@@ -129,13 +133,35 @@
         self.run(|done| Job::Purge(up_to.index, position, done)).await
     }
 
+    /// Reads the first log entries in a range, up to `max_bytes` bytes and at least one. What was queued
+    /// before is written first.
+    ///
+    /// # Errors
+    /// The entries cannot be read, or the writer has ended.
+    pub async fn read_log(&self, range: Range<u64>, max_bytes: usize) -> Result<Vec<Entry>, ReadError> {
+        let (done, read) = oneshot::channel();
+        let job = Job::ReadLog(range, max_bytes, done);
+        self.jobs.send(job).await.map_err(|_| ReadError::WriterEnded)?;
+        Ok(read.await.map_err(|_| ReadError::WriterEnded)??)
+    }
+
+    /// Reads the last snapshot, if there is one. What was queued before is written first.
+    ///
+    /// # Errors
+    /// The snapshot cannot be read, or the writer has ended.
+    pub async fn read_snapshot(&self) -> Result<Option<EncodedSnapshot>, ReadError> {
+        let (done, read) = oneshot::channel();
+        self.jobs.send(Job::ReadSnapshot(done)).await.map_err(|_| ReadError::WriterEnded)?;
+        Ok(read.await.map_err(|_| ReadError::WriterEnded)??)
+    }
+
     /// Replaces the last snapshot.
     ///
     /// # Errors
     /// The snapshot cannot be encoded or written, or the writer has ended.
-    pub async fn put_snapshot(&self, meta: &SnapshotMeta, state: &Vec<u8>) -> Result<(), WriteError> {
+    pub async fn put_snapshot(&self, meta: &SnapshotMeta, state: &[u8]) -> Result<(), WriteError> {
         let meta = record::encode(RecordType::SnapshotMetadata, meta)?;
-        let state = record::encode(RecordType::Snapshot, state)?;
+        let state = record::encode(RecordType::Snapshot, &state)?;
         self.run(|done| Job::Snapshot(meta, state, done)).await
     }
 }
--- a/crates/cluster/src/disk/writer.rs
+++ b/crates/cluster/src/disk/writer.rs
@@ -1,13 +1,15 @@
 //! The writer of a store. It owns the database, writes all queued jobs in one transaction, and reports the
 //! result to the sender of each job.
 
-use super::contents::{LOG, META};
-use super::error::WriteError;
+use super::contents::{EncodedSnapshot, LOG, META, read_snapshot};
+use super::error::{StoreError, WriteError};
+use super::stored_log::StoredLog;
 use super::{failpoint, key};
-use crate::types::RaftTypes;
+use crate::types::{Entry, RaftTypes};
 use openraft::storage::LogFlushed;
 use redb::{Database, Durability};
 use std::io;
+use std::ops::Range;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Instant;
@@ -19,7 +21,10 @@
 /// Reports the result of a job to its sender.
 pub(super) type JobDone = oneshot::Sender<Result<(), WriteError>>;
 
-/// A write to the store. Its records are already encoded and have their checksums.
+/// Returns what a job has read to its sender.
+pub(super) type ReadDone<T> = oneshot::Sender<Result<T, StoreError>>;
+
+/// A write to the store, whose records are already encoded and have their checksums, or a read from it.
 pub(super) enum Job {
     /// Append these log entries, each with its index.
     Append(Vec<(u64, Vec<u8>)>, LogFlushed<RaftTypes>),
@@ -34,11 +39,19 @@
     Purge(u64, Vec<u8>, JobDone),
     /// Put the metadata and the state of a snapshot.
     Snapshot(Vec<u8>, Vec<u8>, JobDone),
+    /// Read the first log entries in a range, up to a number of bytes.
+    ReadLog(Range<u64>, usize, ReadDone<Vec<Entry>>),
+    /// Read the last snapshot.
+    ReadSnapshot(ReadDone<Option<EncodedSnapshot>>),
 }
 
 impl Job {
-    /// Reports the result to the job's sender.
-    fn finish(self, result: &Result<(), WriteError>) {
+    fn is_read(&self) -> bool {
+        matches!(self, Job::ReadLog(..) | Job::ReadSnapshot(_))
+    }
+
+    /// Reports the result of the write to the job's sender, or reads what the job requests.
+    fn finish(self, result: &Result<(), WriteError>, database: &Database) {
         match self {
             Job::Append(_, flushed) => {
                 // Only the text is passed on: it contains the sources, which the consensus library would
@@ -51,6 +64,11 @@
             | Job::Purge(_, _, done)
             | Job::Snapshot(_, _, done) => drop(done.send(result.clone())),
             Job::PutWithoutSync(..) => {}
+            Job::ReadLog(range, max_bytes, done) => {
+                let read = StoredLog::of(database).and_then(|log| log.first_entries(range, max_bytes));
+                drop(done.send(read));
+            }
+            Job::ReadSnapshot(done) => drop(done.send(read_snapshot(database))),
         }
     }
 }
@@ -108,7 +126,8 @@
         self.waiting.recv().await
     }
 
-    /// Writes a job together with queued jobs in one transaction, and reports the result to their senders.
+    /// Writes a job together with queued jobs in one transaction, and reports the result to their senders. What
+    /// jobs read follows the writes.
     pub(super) fn write_batch(&mut self, first: Job) {
         let mut jobs = vec![first];
         while jobs.len() < MAX_BATCH
@@ -116,18 +135,21 @@
         {
             jobs.push(job);
         }
-        let begun = Instant::now();
-        let written = write(&self.database, &jobs);
-        self.sync_times.add(begun.elapsed().as_micros() as u64);
-        let result = written
-            .map_err(|error| WriteError::Database { file: self.file.clone(), source: Arc::new(error) });
+        let result = if jobs.iter().all(Job::is_read) { Ok(()) } else { self.write_timed(&jobs) };
         if let Err(error) = &result {
             tracing::error!("fleet: cannot write to the store: {error}");
         }
         for job in jobs {
-            job.finish(&result);
+            job.finish(&result, &self.database);
         }
     }
+
+    fn write_timed(&self, jobs: &[Job]) -> Result<(), WriteError> {
+        let begun = Instant::now();
+        let written = write(&self.database, jobs);
+        self.sync_times.add(begun.elapsed().as_micros() as u64);
+        written.map_err(|error| WriteError::Database { file: self.file.clone(), source: Arc::new(error) })
+    }
 }
 
 /// Writes jobs in their order as one transaction, with one sync.
@@ -139,7 +161,7 @@
     // previous commit if the process was killed and a page is corrupt, and acknowledged entries would be
     // lost.
     transaction.set_quick_repair(true);
-    if jobs.iter().all(|job| matches!(job, Job::PutWithoutSync(..))) {
+    if jobs.iter().all(|job| job.is_read() || matches!(job, Job::PutWithoutSync(..))) {
         transaction.set_durability(Durability::None)?;
     }
     {
@@ -163,6 +185,7 @@
                     meta.insert(key::SNAPSHOT_META, snapshot_meta.as_slice())?;
                     meta.insert(key::SNAPSHOT_STATE, state.as_slice())?;
                 }
+                Job::ReadLog(..) | Job::ReadSnapshot(_) => {}
             }
         }
     }
--- a/crates/cluster/src/force_recovery.rs
+++ b/crates/cluster/src/force_recovery.rs
@@ -7,7 +7,7 @@
 use crate::disk::{self, Identity, OpenError, OpenedStore, key};
 use crate::environment::{EntropyError, random};
 use crate::settings::Settings;
-use crate::state_machine::{self, CorruptSnapshot};
+use crate::state_machine::{self, ReplayError};
 use crate::types::{LogId, Membership, SnapshotMeta, Vote, VoterAddress};
 use sedgerun_replication::greeting::cluster_origin;
 use sedgerun_replication::record::{self, EncodeError, RecordType};
@@ -23,9 +23,9 @@
     /// The store cannot be used.
     #[error(transparent)]
     Store(#[from] OpenError),
-    /// The state of its snapshot cannot be decoded.
+    /// Its state cannot be built from its snapshot and its log.
     #[error(transparent)]
-    Snapshot(#[from] CorruptSnapshot),
+    Replay(#[from] ReplayError),
     /// The store contains no state and no log.
     #[error("{}: the store is empty", .0.display())]
     EmptyStore(PathBuf),
@@ -68,7 +68,7 @@
 ) -> Result<String, ForceRecoveryError> {
     let (database, opened) = disk::open_database(&settings.dir)?;
     let recovered = recover_state(&opened)?;
-    let last = opened.log.values().next_back().map(|entry| entry.log_id).or(opened.purged);
+    let last = opened.last.or(opened.purged);
     let version = recovered.state.view.version;
     if version == 0 && last.is_none() {
         return Err(ForceRecoveryError::EmptyStore(settings.dir.clone()));
@@ -89,11 +89,11 @@
 
 /// Recovers all entries of the store, also those that it does not know to be committed: they may have been
 /// acknowledged.
-fn recover_state(opened: &OpenedStore) -> Result<RecoveredState, CorruptSnapshot> {
-    let last_index = opened.log.keys().next_back().copied().unwrap_or(0);
+fn recover_state(opened: &OpenedStore) -> Result<RecoveredState, ReplayError> {
+    let last_index = opened.last.map_or(0, |last| last.index);
     let committed_index = opened.committed.map_or(0, |at| at.index);
-    let committed = state_machine::replay(opened.snapshot.clone(), &opened.log, committed_index)?;
-    let state = state_machine::replay(opened.snapshot.clone(), &opened.log, last_index)?;
+    let committed_version = state_machine::replay(opened, committed_index)?.view.version;
+    let state = state_machine::replay(opened, last_index)?;
     if opened.followed.version > state.view.version {
         // The head was a follower later on: the view that it received is newer, and contains only committed
         // changes.
@@ -102,7 +102,7 @@
             state: ReplicatedState::from_view(opened.followed.clone()),
         });
     }
-    Ok(RecoveredState { committed_version: committed.view.version, state })
+    Ok(RecoveredState { committed_version, state })
 }
 
 /// Describes to the operator which changes may be lost.
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -16,6 +16,7 @@
 //! | `election`, `recovery`, `repair` | elections, recovery of a store after a start, replacement of dead voters |
 //! | `follow`, `upstream`, `relay` | receiving updates, serving updates, registration of relays |
 //! | `state_machine`, `raft_log` | storage for the consensus library |
+//! | [`memory_limits`] | the memory that the parts of the replicated state may take up |
 //! | [`disk`] | the store on disk: records, syncs, typed errors |
 //! | `peer_network`, `peer_connection`, `voter_connection`, `frame`, `serve` | connections between heads |
 //! | [`types`] | messages between heads, and the status of a head |
@@ -34,6 +35,7 @@
 mod frame;
 mod handle;
 mod member;
+pub mod memory_limits;
 pub mod node;
 mod node_setup;
 mod peer_connection;
@@ -55,4 +57,4 @@
 pub use change_error::ClusterRequestError;
 pub use handle::{ClusterHandle, ClusterStartError};
 pub use member::{AdoptError, BeginError, StartError};
-pub use state_machine::CorruptSnapshot;
+pub use state_machine::{CorruptSnapshot, ReplayError};
--- a/crates/cluster/src/member/mod.rs
+++ b/crates/cluster/src/member/mod.rs
@@ -19,6 +19,7 @@
 pub use origin::{AdoptError, BeginError};
 pub use start::StartError;
 
+use crate::change::PendingMemory;
 use crate::disk::{Disk, Identity};
 use crate::environment::now;
 use crate::peer_network::PeerNetwork;
@@ -63,6 +64,8 @@
     followers: Mutex<Followers>,
     registry: Mutex<RelayRegistry>,
     transfer_permits: Mutex<TransferPermits>,
+    /// The memory that is reserved for changes in the queue.
+    pub pending: PendingMemory,
     /// Queue of changes for the task that writes batches.
     pub changes: mpsc::Sender<PendingChange>,
 }
--- a/crates/cluster/src/member/start.rs
+++ b/crates/cluster/src/member/start.rs
@@ -1,14 +1,15 @@
 //! Starts a member from its settings and its opened store.
 
 use super::Member;
-use crate::disk::{Identity, OpenedStore};
+use crate::change::PendingMemory;
+use crate::disk::{Identity, OpenedStore, StoreError};
 use crate::environment::{EntropyError, now, random};
 use crate::node_setup::NodeSetup;
 use crate::peer_network::PeerNetwork;
 use crate::pending_change::PendingChange;
 use crate::raft_log::RaftLog;
 use crate::settings::Settings;
-use crate::state_machine::{CorruptSnapshot, StateMachine};
+use crate::state_machine::{ReplayError, StateMachine};
 use crate::types::{Raft, Vote};
 use openraft::error::Fatal;
 use openraft::{Config, ConfigError, SnapshotPolicy};
@@ -46,9 +47,12 @@
     /// There are no random numbers.
     #[error(transparent)]
     Entropy(#[from] EntropyError),
-    /// The state of the last snapshot cannot be decoded.
+    /// The state cannot be built from the last snapshot and the log.
     #[error(transparent)]
-    Snapshot(#[from] CorruptSnapshot),
+    Replay(#[from] ReplayError),
+    /// The log cannot be read.
+    #[error(transparent)]
+    Log(#[from] StoreError),
     /// The consensus library rejects its configuration.
     #[error(transparent)]
     Config(#[from] Box<ConfigError>),
@@ -65,11 +69,12 @@
     pub async fn start(setup: NodeSetup, changes: mpsc::Sender<PendingChange>) -> Result<Member, StartError> {
         let NodeSetup { settings, head, address, disk, opened, dial } = setup;
         let own = greeting(&settings, &head, address, &opened)?;
-        let OpenedStore { identity, vote, committed, purged, log, watermarks, snapshot, followed } = opened;
+        let limits = settings.memory;
+        let state_machine = StateMachine::new(disk.clone(), &opened, limits.whole_change_bytes)?;
+        let vote = opened.vote.map(|vote| uncommit_own_vote(vote, &opened.identity));
+        let log = RaftLog::new(disk.clone(), &opened, vote, limits.log_bytes)?;
+        let OpenedStore { identity, watermarks, .. } = opened;
         let network = PeerNetwork::new(own, settings.routes(), watermarks, dial);
-        let state_machine = StateMachine::new(disk.clone(), snapshot, &log, committed, followed)?;
-        let vote = vote.map(|vote| uncommit_own_vote(vote, &identity));
-        let log = RaftLog::new(disk.clone(), log, purged, vote, committed);
         let config = Arc::new(raft_config(&settings)?);
         let raft = Raft::new(identity.store, config, network.clone(), log.clone(), state_machine.clone());
         let raft = raft.await.map_err(Box::new)?;
@@ -92,6 +97,7 @@
             followers: Mutex::new(followers),
             registry: Mutex::default(),
             transfer_permits: Mutex::new(TransferPermits::new(random()?)),
+            pending: PendingMemory::default(),
             changes,
         })
     }
--- a/crates/cluster/src/pending_change.rs
+++ b/crates/cluster/src/pending_change.rs
@@ -1,5 +1,6 @@
 //! A change in the queue between the task that requests it and the task that writes batches.
 
+use crate::change::Reservation;
 use crate::change_error::CommitError;
 use sedgerun_replication::state::{Change, ChangeOutcome};
 use tokio::sync::oneshot;
@@ -13,4 +14,6 @@
     pub change: Change,
     /// Receives the result.
     pub result: oneshot::Sender<CommitResult>,
+    /// The memory that is reserved for it.
+    pub reservation: Reservation,
 }
--- a/crates/cluster/src/settings.rs
+++ b/crates/cluster/src/settings.rs
@@ -4,6 +4,7 @@
 //! Reading reports each invalid setting to the [`Pairs`] and continues, so that the operator sees all faults
 //! at once.
 
+use crate::memory_limits::MemoryLimits;
 use sedgerun_config::Pairs;
 use sedgerun_replication::follow::MAX_FOLLOWERS;
 use sedgerun_replication::relay::{FollowerRole, RELAY_CAPACITY};
@@ -20,6 +21,8 @@
 const MIN_SECRET_BYTES: usize = 16;
 /// Number of file descriptors that the program may use, if its settings do not limit them.
 pub const DEFAULT_SOCKETS: usize = 1024;
+/// The limits on memory, if the program's settings do not limit it.
+pub const DEFAULT_MEMORY: MemoryLimits = MemoryLimits::of_memory(192);
 /// Maximum number of connections from heads and command lines to a head that is neither a voter nor a relay.
 /// A relay accepts as many besides those of its followers.
 const MAX_PEER_CONNECTIONS: usize = 128;
@@ -53,6 +56,8 @@
     /// File descriptors that the program may use. They limit the numbers of followers and of peer
     /// connections.
     pub sockets: usize,
+    /// The memory that the parts of the replicated state may take up.
+    pub memory: MemoryLimits,
 }
 
 impl Settings {
@@ -112,6 +117,7 @@
             region: read_location(pairs, "fleet.region"),
             relay,
             sockets: DEFAULT_SOCKETS,
+            memory: DEFAULT_MEMORY,
         })
     }
 
--- a/crates/cluster/src/state_machine.rs
+++ b/crates/cluster/src/state_machine.rs
@@ -1,38 +1,56 @@
 //! The state machine of the consensus library: applies committed entries, builds snapshots and installs them.
 //!
-//! The state is in memory; the disk has the last snapshot and the log entries after it. Besides the state
+//! The state is in memory; the disk has the last snapshot and the log entries after it, and they are read entry
+//! by entry. Besides the state
 //! that this head applies as a voter, the state machine contains the view that the head receives as a
 //! follower; readers see the newer of the two. Only the consensus library and the [follower](crate::follow)
 //! may change them.
 
-use crate::disk::{Disk, failpoint};
+use crate::disk::{Disk, EncodedSnapshot, OpenedStore, StoreError, StoredLog, failpoint};
 use crate::raft_log::storage_error;
 use crate::types::{Entry, LogId, Membership, RaftTypes, SnapshotMeta, StorageError};
 use openraft::storage::RaftStateMachine;
 use openraft::{EntryPayload, ErrorVerb, OptionalSend, RaftSnapshotBuilder, Snapshot};
-use sedgerun_replication::record::{self, CorruptRecord, RecordType};
-use sedgerun_replication::state::{ChangeOutcome, ReplicatedState};
+use sedgerun_replication::heap_size::HeapSize;
+use sedgerun_replication::record::{self, CorruptRecord, EncodeError, RecordType};
+use sedgerun_replication::state::{ChangeOutcome, Command, ReplicatedState};
 use sedgerun_replication::view::View;
-use std::collections::BTreeMap;
 use std::io::Cursor;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use thiserror::Error;
 use tokio::sync::watch;
 
-/// The metadata of a snapshot and its encoded state.
-type EncodedSnapshot = (SnapshotMeta, Vec<u8>);
-
 /// The state of a snapshot cannot be decoded.
 #[derive(Debug, Error)]
 #[error("cannot decode the state of a snapshot: {0}")]
 pub struct CorruptSnapshot(#[source] CorruptRecord);
 
+/// The state of a store cannot be built from its snapshot and its log.
+#[derive(Debug, Error)]
+pub enum ReplayError {
+    /// The state of the snapshot cannot be decoded.
+    #[error(transparent)]
+    Snapshot(#[from] CorruptSnapshot),
+    /// The log cannot be read.
+    #[error(transparent)]
+    Log(#[from] StoreError),
+    /// The changes of a log entry cannot be decoded.
+    #[error("log entry {index}: cannot decode its changes: {source}")]
+    Changes {
+        /// The entry's log index.
+        index: u64,
+        /// What is wrong with them.
+        source: EncodeError,
+    },
+}
+
 /// The state machine; clones share the same state.
 #[derive(Clone)]
 pub struct StateMachine {
     disk: Disk,
     data: Arc<Mutex<MachineData>>,
     version: Arc<watch::Sender<u64>>,
+    max_whole_change_bytes: usize,
 }
 
 struct MachineData {
@@ -43,7 +61,8 @@
     /// Log position of the last applied entry.
     applied: Option<LogId>,
     membership: Membership,
-    snapshot: Option<(SnapshotMeta, Arc<Vec<u8>>)>,
+    /// Length of the encoded last snapshot, which is on the disk.
+    snapshot_len: usize,
 }
 
 /// Estimates of the memory that the parts of a state machine take up, in bytes.
@@ -57,7 +76,7 @@
     pub outcome_count: usize,
     /// The remembered outcomes.
     pub outcomes: usize,
-    /// The encoded last snapshot.
+    /// The encoded last snapshot, which is on the disk.
     pub snapshot: usize,
 }
 
@@ -73,41 +92,48 @@
 
     /// The state of a snapshot, or an empty one, with the log entries up to an index applied.
     fn replay(
-        snapshot: Option<EncodedSnapshot>,
-        log: &BTreeMap<u64, Entry>,
+        snapshot: Option<&EncodedSnapshot>,
+        log: &StoredLog,
         up_to: u64,
-    ) -> Result<MachineData, CorruptSnapshot> {
+        max_whole_change_bytes: usize,
+    ) -> Result<MachineData, ReplayError> {
         let mut data = MachineData {
             state: ReplicatedState::default(),
             follower_view: View::default(),
             applied: None,
             membership: Membership::default(),
-            snapshot: None,
+            snapshot_len: 0,
         };
         if let Some((meta, bytes)) = snapshot {
-            data.state = decode_state(&bytes)?;
+            data.state = decode_state(bytes)?;
             (data.applied, data.membership) = (meta.last_log_id, meta.last_membership.clone());
-            data.snapshot = Some((meta, Arc::new(bytes)));
+            data.snapshot_len = bytes.len();
         }
+        data.state.set_max_whole_change_bytes(max_whole_change_bytes);
         let from = data.applied.map_or(0, |applied| applied.index + 1);
         if from <= up_to {
-            log.range(from..=up_to).for_each(|(_, entry)| drop(data.apply(entry.clone())));
+            for stored in log.entries(from..=up_to)? {
+                let (entry, _) = stored?;
+                let index = entry.log_id.index;
+                data.apply(entry).map_err(|source| ReplayError::Changes { index, source })?;
+            }
         }
         Ok(data)
     }
 
-    fn apply(&mut self, entry: Entry) -> Vec<ChangeOutcome> {
-        self.applied = Some(entry.log_id);
-        match entry.payload {
-            EntryPayload::Normal(changes) => {
-                changes.into_iter().map(|change| self.state.apply(change)).collect()
+    fn apply(&mut self, entry: Entry) -> Result<Vec<ChangeOutcome>, EncodeError> {
+        let outcomes = match entry.payload {
+            EntryPayload::Normal(batch) => {
+                batch.changes()?.iter().map(|change| self.state.apply(change)).collect()
             }
             EntryPayload::Membership(membership) => {
                 self.membership = Membership::new(Some(entry.log_id), membership);
                 Vec::new()
             }
             EntryPayload::Blank => Vec::new(),
-        }
+        };
+        self.applied = Some(entry.log_id);
+        Ok(outcomes)
     }
 
     /// Drops the view that was received as a follower once the applied state is as new.
@@ -119,24 +145,24 @@
 }
 
 impl StateMachine {
-    /// Creates a state machine from the snapshot, or from an empty state, with the log entries up to
-    /// `committed` applied.
+    /// Creates a state machine from the snapshot, or from an empty state, with the log entries that are known
+    /// to be committed applied. It keeps up to `max_whole_change_bytes` bytes of recent changes whole.
     ///
     /// # Errors
-    /// The state of the snapshot cannot be decoded.
+    /// The snapshot or an entry cannot be read.
     pub fn new(
         disk: Disk,
-        snapshot: Option<EncodedSnapshot>,
-        log: &BTreeMap<u64, Entry>,
-        committed: Option<LogId>,
-        follower_view: View,
-    ) -> Result<StateMachine, CorruptSnapshot> {
+        opened: &OpenedStore,
+        max_whole_change_bytes: usize,
+    ) -> Result<StateMachine, ReplayError> {
         // Entries are applied before the consensus library starts, so that the serving thread has them when
         // it begins to serve clients.
-        let mut data = MachineData::replay(snapshot, log, committed.map_or(0, |at| at.index))?;
-        data.follower_view = follower_view;
+        let committed = opened.committed.map_or(0, |at| at.index);
+        let snapshot = opened.snapshot.as_ref();
+        let mut data = MachineData::replay(snapshot, &opened.log, committed, max_whole_change_bytes)?;
+        data.follower_view = opened.followed.clone();
         let version = Arc::new(watch::Sender::new(data.view().version));
-        Ok(StateMachine { disk, data: Arc::new(Mutex::new(data)), version })
+        Ok(StateMachine { disk, data: Arc::new(Mutex::new(data)), version, max_whole_change_bytes })
     }
 
     fn lock(&self) -> MutexGuard<'_, MachineData> {
@@ -178,15 +204,31 @@
         self.lock().follower_view.version
     }
 
+    /// The memory that the applied objects take up, and that a command would add to them, in bytes.
+    pub fn state_bytes(&self, command: &Command) -> (usize, usize) {
+        let data = self.lock();
+        (data.state.view.object_bytes(), data.state.view.growth_by(command))
+    }
+
+    /// Whether the outcome of a change with this key is remembered.
+    pub fn remembers(&self, key: &str) -> bool {
+        self.lock().state.outcomes().contains(key)
+    }
+
+    /// Log index of the last applied entry; `None` before the first.
+    pub fn applied_index(&self) -> Option<u64> {
+        self.lock().applied.map(|applied| applied.index)
+    }
+
     /// The memory that the parts of the state machine take up.
     pub fn memory(&self) -> StateMemory {
         let data = self.lock();
         StateMemory {
             view: data.state.view.heap_bytes(),
             follower_view: data.follower_view.heap_bytes(),
-            outcome_count: data.state.remembered_outcomes().len(),
-            outcomes: data.state.outcome_bytes(),
-            snapshot: data.snapshot.as_ref().map_or(0, |(_, bytes)| bytes.len()),
+            outcome_count: data.state.outcomes().len(),
+            outcomes: data.state.outcomes().heap_bytes(),
+            snapshot: data.snapshot_len,
         }
     }
 
@@ -206,16 +248,13 @@
     }
 }
 
-/// The state of a snapshot, or an empty one, with the log entries up to an index applied.
+/// The state of a store's snapshot, or an empty one, with the log entries up to an index applied. All remembered
+/// changes are kept whole.
 ///
 /// # Errors
-/// The state of the snapshot cannot be decoded.
-pub fn replay(
-    snapshot: Option<EncodedSnapshot>,
-    log: &BTreeMap<u64, Entry>,
-    up_to: u64,
-) -> Result<ReplicatedState, CorruptSnapshot> {
-    Ok(MachineData::replay(snapshot, log, up_to)?.state)
+/// The snapshot or an entry cannot be read.
+pub fn replay(opened: &OpenedStore, up_to: u64) -> Result<ReplicatedState, ReplayError> {
+    Ok(MachineData::replay(opened.snapshot.as_ref(), &opened.log, up_to, usize::MAX)?.state)
 }
 
 fn decode_state(bytes: &[u8]) -> Result<ReplicatedState, CorruptSnapshot> {
@@ -224,11 +263,10 @@
 
 impl RaftSnapshotBuilder<RaftTypes> for StateMachine {
     async fn build_snapshot(&mut self) -> Result<Snapshot<RaftTypes>, StorageError> {
-        let (state, applied, membership) = {
+        let (bytes, applied, membership) = {
             let data = self.lock();
-            (data.state.clone(), data.applied, data.membership.clone())
+            (record::encode(RecordType::Snapshot, &data.state), data.applied, data.membership.clone())
         };
-        let bytes = record::encode(RecordType::Snapshot, &state);
         let bytes = bytes.map_err(|error| storage_error(ErrorVerb::Write, error))?;
         let index = applied.map_or(0, |applied| applied.index);
         let term = applied.map_or(0, |applied| applied.leader_id.term);
@@ -239,7 +277,7 @@
         };
         let saved = self.disk.put_snapshot(&meta, &bytes).await;
         saved.map_err(|error| storage_error(ErrorVerb::Write, error))?;
-        self.lock().snapshot = Some((meta.clone(), Arc::new(bytes.clone())));
+        self.lock().snapshot_len = bytes.len();
         Ok(Snapshot { meta, snapshot: Box::new(Cursor::new(bytes)) })
     }
 }
@@ -259,9 +297,10 @@
     {
         let outcomes = {
             let mut data = self.lock();
-            let outcomes = entries.into_iter().map(|entry| data.apply(entry)).collect();
+            let outcomes: Result<Vec<_>, EncodeError> =
+                entries.into_iter().map(|entry| data.apply(entry)).collect();
             data.drop_outdated_follower_view();
-            outcomes
+            outcomes.map_err(|error| storage_error(ErrorVerb::Read, error))?
         };
         self.publish();
         Ok(outcomes)
@@ -281,7 +320,8 @@
         snapshot: Box<Cursor<Vec<u8>>>,
     ) -> Result<(), StorageError> {
         let bytes = snapshot.into_inner();
-        let state = decode_state(&bytes).map_err(|error| storage_error(ErrorVerb::Read, error))?;
+        let mut state = decode_state(&bytes).map_err(|error| storage_error(ErrorVerb::Read, error))?;
+        state.set_max_whole_change_bytes(self.max_whole_change_bytes);
         let saved = self.disk.put_snapshot(meta, &bytes).await;
         saved.map_err(|error| storage_error(ErrorVerb::Write, error))?;
         failpoint("after a snapshot is installed");
@@ -289,7 +329,7 @@
             let mut data = self.lock();
             (data.state, data.applied) = (state, meta.last_log_id);
             data.membership = meta.last_membership.clone();
-            data.snapshot = Some((meta.clone(), Arc::new(bytes)));
+            data.snapshot_len = bytes.len();
             data.drop_outdated_follower_view();
         }
         self.publish();
@@ -297,10 +337,8 @@
     }
 
     async fn get_current_snapshot(&mut self) -> Result<Option<Snapshot<RaftTypes>>, StorageError> {
-        let snapshot = self.lock().snapshot.clone();
-        Ok(snapshot.map(|(meta, bytes)| {
-            let bytes = Box::new(Cursor::new(bytes.as_ref().clone()));
-            Snapshot { meta, snapshot: bytes }
-        }))
+        let snapshot = self.disk.read_snapshot().await;
+        let snapshot = snapshot.map_err(|error| storage_error(ErrorVerb::Read, error))?;
+        Ok(snapshot.map(|(meta, bytes)| Snapshot { meta, snapshot: Box::new(Cursor::new(bytes)) }))
     }
 }
--- a/crates/cluster/src/types/raft.rs
+++ b/crates/cluster/src/types/raft.rs
@@ -1,6 +1,7 @@
 //! The consensus library's types, with this cluster's type parameters.
 
-use sedgerun_replication::state::{Change, ChangeOutcome};
+use sedgerun_replication::change_batch::ChangeBatch;
+use sedgerun_replication::state::ChangeOutcome;
 use sedgerun_replication::store::StoreId;
 use serde::{Deserialize, Serialize};
 use std::io::Cursor;
@@ -18,11 +19,11 @@
 }
 
 openraft::declare_raft_types!(
-    /// Type parameters of the consensus library. An entry is a batch of changes, which are synced together. A
-    /// voter is identified by its store, so that a head whose disk was wiped is not mistaken for the voter
+    /// Type parameters of the consensus library. An entry is a batch of changes, which are synced together and
+    /// kept encoded. A voter is identified by its store, so that a head whose disk was wiped is not mistaken for the voter
     /// that it was before.
     pub RaftTypes:
-        D = Vec<Change>,
+        D = ChangeBatch,
         R = Vec<ChangeOutcome>,
         NodeId = StoreId,
         Node = VoterAddress,
--- a/crates/cluster/tests/error_texts.rs
+++ b/crates/cluster/tests/error_texts.rs
@@ -4,7 +4,7 @@
 use sedgerun_cluster::client::{ClientError, HeadError};
 use sedgerun_cluster::disk::{self, OpenError, StoreError, WriteError};
 use sedgerun_cluster::force_recovery::{ForceRecoveryError, force_recovery};
-use sedgerun_cluster::settings::{DEFAULT_SOCKETS, Settings};
+use sedgerun_cluster::settings::{DEFAULT_MEMORY, DEFAULT_SOCKETS, Settings};
 use sedgerun_cluster::{AdoptError, BeginError, ClusterHandle, ClusterRequestError, ClusterStartError};
 use sedgerun_replication::record::CorruptRecord;
 use sedgerun_replication::state::ChangeOutcome;
@@ -57,6 +57,7 @@
         region: None,
         relay: false,
         sockets: DEFAULT_SOCKETS,
+        memory: DEFAULT_MEMORY,
     }
 }
 
--- a/crates/cluster/tests/frozen_messages.rs
+++ b/crates/cluster/tests/frozen_messages.rs
@@ -19,11 +19,12 @@
 use recorded::{Section, assert_sections, unhex};
 use sedgerun_cluster::client;
 use sedgerun_cluster::disk::Identity;
-use sedgerun_cluster::settings::Settings;
+use sedgerun_cluster::settings::{DEFAULT_MEMORY, Settings};
 use sedgerun_cluster::types::{
     DistributionStatus, Entry, HeadStatus, LegacyPollRequest, LogId, Membership, PeerRequest, PeerResponse,
     RelayRegistration, SnapshotMeta, Vote, VoterAddress, VoterStatus,
 };
+use sedgerun_replication::change_batch::ChangeBatch;
 use sedgerun_replication::follow::{Downstream, LegacyUpdateResponse, Peer, Voters};
 use sedgerun_replication::greeting::{Greeting, HandshakeError};
 use sedgerun_replication::record::{self, RecordType};
@@ -117,7 +118,8 @@
 }
 
 fn entries() -> [(&'static str, Entry); 3] {
-    let changes = vec![change("k1"), Change { expected_version: None, ..change("k2") }];
+    let changes = [change("k1"), Change { expected_version: None, ..change("k2") }];
+    let changes = ChangeBatch::new(&changes).expect("an encoding");
     [
         ("blank", Entry { log_id: position(16, 89_001), payload: EntryPayload::Blank }),
         ("changes", Entry { log_id: position(16, 89_002), payload: EntryPayload::Normal(changes) }),
@@ -440,6 +442,7 @@
         region: None,
         relay: false,
         sockets: 1024,
+        memory: DEFAULT_MEMORY,
     }
 }
 
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -9,6 +9,8 @@
 //! | module | content |
 //! |---|---|
 //! | [`state`] | the replicated state machine: commands, changes and their outcomes |
+//! | [`outcomes`] | the outcomes of recent changes, remembered for retries |
+//! | [`change_batch`] | the encoded changes of a log entry |
 //! | [`view`] | tenants, bans and voter rules as heads read them; their transfer in resumable chunks |
 //! | [`record`] | the header of everything stored or sent: type, format version, checksum |
 //! | [`store`], [`peer`] | identities of stores and heads |
@@ -24,11 +26,13 @@
 //! | [`heap_size`] | estimates of the memory that the above take up |
 //! | [`digest`], [`time`] | digests of message parts; the unit of time |
 
+pub mod change_batch;
 pub mod digest;
 pub mod election;
 pub mod follow;
 pub mod greeting;
 pub mod heap_size;
+pub mod outcomes;
 pub mod peer;
 pub mod record;
 pub mod relay;
@@ -40,6 +44,7 @@
 pub mod transfer_permits;
 pub mod upstream;
 pub mod view;
+mod view_size;
 pub mod watermark;
 
 pub use peer::{Downstream, Peer, Voters};
--- a/crates/replication/src/state.rs
+++ b/crates/replication/src/state.rs
@@ -5,14 +5,12 @@
 //! [`Command`], [`Change`] and [`ChangeOutcome`] is part of the log's format. The texts of outcomes are part
 //! of the state, as recent outcomes are stored in it.
 
-use crate::heap_size::{HeapSize, node_bytes};
+use crate::outcomes::{EncodedChange, RememberedOutcomes};
 use crate::store::StoreId;
 use crate::view::{ExportFields, Object, ObjectKey, VersionedObject, View, VoterRules};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
-/// Maximum number of outcomes that are remembered for retried changes; the oldest are dropped first.
-pub const MAX_REMEMBERED_OUTCOMES: usize = 4096;
 /// Maximum number of tenants.
 pub const MAX_TENANTS: usize = 10_000;
 /// Maximum number of exports, over all tenants.
@@ -121,10 +119,8 @@
 pub struct ReplicatedState {
     /// Tenants, bans and voter rules, as heads read them.
     pub view: View,
-    /// Recent changes with their outcomes, by idempotency key.
-    outcomes: BTreeMap<String, (Change, ChangeOutcome)>,
-    /// Keys of `outcomes`, the oldest first.
-    outcome_order: VecDeque<String>,
+    /// Outcomes of recent changes.
+    outcomes: RememberedOutcomes,
 }
 
 impl ReplicatedState {
@@ -135,40 +131,29 @@
 
     /// Applies one change. A retry, recognized by its idempotency key, gets the first outcome and is not
     /// applied again.
-    pub fn apply(&mut self, change: Change) -> ChangeOutcome {
-        if let Some((first, outcome)) = self.outcomes.get(&change.key) {
-            // A client retries a change when the first response is lost. Applying it twice would repeat its
-            // effect, or report a conflict with itself.
-            return if *first == change { outcome.clone() } else { ChangeOutcome::Reused };
-        }
-        let outcome = self.execute(&change).unwrap_or_else(|rejected| rejected);
-        self.outcome_order.push_back(change.key.clone());
-        self.outcomes.insert(change.key.clone(), (change, outcome.clone()));
-        while self.outcome_order.len() > MAX_REMEMBERED_OUTCOMES {
-            if let Some(oldest) = self.outcome_order.pop_front() {
-                self.outcomes.remove(&oldest);
-            }
+    pub fn apply(&mut self, change: &Change) -> ChangeOutcome {
+        let Ok(encoded) = EncodedChange::new(change) else {
+            return ChangeOutcome::Conflict("the change cannot be encoded".into());
+        };
+        // A client retries a change when the first response is lost. Applying it twice would repeat its
+        // effect, or report a conflict with itself.
+        if let Some(outcome) = self.outcomes.of_retry(&change.key, &encoded) {
+            return outcome;
         }
+        let outcome = self.execute(change).unwrap_or_else(|rejected| rejected);
+        self.outcomes.remember(&change.key, encoded, outcome.clone());
         outcome
     }
 
-    /// The remembered changes and their outcomes, by idempotency key.
-    pub fn remembered_outcomes(&self) -> &BTreeMap<String, (Change, ChangeOutcome)> {
+    /// The remembered outcomes.
+    pub fn outcomes(&self) -> &RememberedOutcomes {
         &self.outcomes
     }
 
-    /// The keys of the remembered outcomes, the oldest first.
-    pub fn outcome_order(&self) -> &VecDeque<String> {
-        &self.outcome_order
-    }
-
-    /// Estimate of the memory that the remembered outcomes take up, in bytes.
-    pub fn outcome_bytes(&self) -> usize {
-        let remembered = self.outcomes.iter().map(|(key, (change, outcome))| {
-            2 * key.heap_bytes() + size_of::<String>() + change.heap_bytes() + outcome.heap_bytes()
-        });
-        let entry_bytes = size_of::<(String, (Change, ChangeOutcome))>();
-        node_bytes(self.outcomes.len(), entry_bytes) + remembered.sum::<usize>()
+    /// Sets the limit on the bytes of recent changes that are kept whole. It decides nothing, so heads may
+    /// have different limits.
+    pub fn set_max_whole_change_bytes(&mut self, max_bytes: usize) {
+        self.outcomes.set_max_whole_bytes(max_bytes);
     }
 
     /// Whether another tenant has an export of this name. Export names are unique over all tenants, as
--- a/crates/replication/src/view.rs
+++ b/crates/replication/src/view.rs
@@ -121,6 +121,7 @@
 
 /// The view of the replicated state that heads read.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "StoredView")]
 pub struct View {
     /// The version of the state: the number of changes that were applied.
     pub version: u64,
@@ -137,13 +138,41 @@
     tombstones: usize,
     /// Version of the last tombstone that was dropped, 0 for none.
     floor: u64,
+    /// Estimate of the memory that the objects take up.
+    #[serde(skip)]
+    object_bytes: usize,
+}
+
+/// The stored fields of a [`View`].
+#[derive(Deserialize)]
+struct StoredView {
+    version: u64,
+    tenants: BTreeMap<String, Tenant>,
+    bans: BTreeMap<String, u64>,
+    rules: VoterRules,
+    by_version: BTreeMap<u64, ObjectKey>,
+    versions: BTreeMap<ObjectKey, u64>,
+    tombstones: usize,
+    floor: u64,
+}
+
+impl From<StoredView> for View {
+    fn from(stored: StoredView) -> View {
+        let StoredView { version, tenants, bans, rules, by_version, versions, tombstones, floor } = stored;
+        let mut view =
+            View { version, tenants, bans, rules, by_version, versions, tombstones, floor, object_bytes: 0 };
+        view.object_bytes = view.versions.keys().map(|key| view.bytes_of(key)).sum();
+        view
+    }
 }
 
 impl View {
     /// Inserts an object or a tombstone; its version must be higher than all others in the view.
     pub fn put(&mut self, object: VersionedObject) {
         let VersionedObject { version, key, object } = object;
+        let changed = key.clone();
         if let Some(previous) = self.versions.insert(key.clone(), version) {
+            self.object_bytes -= self.bytes_of(&key);
             self.by_version.remove(&previous);
             self.tombstones -= usize::from(!self.contains(&key));
         }
@@ -159,6 +188,7 @@
             (ObjectKey::Backend(name), None) => drop(self.bans.remove(&name)),
             (ObjectKey::Rules, _) => self.rules = VoterRules::default(),
         }
+        self.object_bytes += self.bytes_of(&changed);
         self.version = self.version.max(version);
         self.prune_tombstones();
     }
@@ -214,6 +244,11 @@
         Chunk { objects, up_to: self.version, version: self.version, restart }
     }
 
+    /// Estimate of the memory that the objects take up, without tombstones, in bytes.
+    pub fn object_bytes(&self) -> usize {
+        self.object_bytes
+    }
+
     /// Estimate of the memory that the view takes up, in bytes.
     pub fn heap_bytes(&self) -> usize {
         self.tenants.heap_bytes()
--- a/crates/replication/tests/frozen_formats.rs
+++ b/crates/replication/tests/frozen_formats.rs
@@ -255,7 +255,7 @@
         change("k7", None, Command::SetVoters(4)),
     ];
     for change in changes {
-        state.apply(change);
+        state.apply(&change);
     }
     let mut lines = section("state");
     check(&mut lines, "filled", &state);
--- a/crates/sedgerun/src/config/mod.rs
+++ b/crates/sedgerun/src/config/mod.rs
@@ -13,6 +13,7 @@
 use crate::operator::Operator;
 use crate::resource_limits::ResourceLimits;
 use crate::tenants::Catalogue;
+use sedgerun_cluster::memory_limits::MemoryLimits;
 use sedgerun_config::Faults;
 use sedgerun_policy::{Micros, Settings};
 use serde_json::value::RawValue;
@@ -76,6 +77,8 @@
     pub seed: u64,
     /// The most file descriptors that the program may have open.
     pub max_descriptors: usize,
+    /// The most megabytes of memory that the program may use.
+    pub memory_mb: usize,
     /// The cached endpoint list: JSON in discovery's form, read by [`read_list`](crate::discovery::list::read_list).
     pub cached_list: Option<Box<RawValue>>,
     /// The settings of the controller.
@@ -127,6 +130,7 @@
             mgmt: reader.optional_address("mgmt", std::env::var("LB_MGMT").ok()),
             seed,
             max_descriptors: sockets,
+            memory_mb,
             cached_list: document.cached_list,
             settings,
             classes: reader.names("classes"),
@@ -153,6 +157,7 @@
         self.operator = Operator::read(text, &self.name, self.catalogue(), &self.resource_limits)?;
         if let Some(fleet) = &mut self.operator.fleet {
             fleet.sockets = self.max_descriptors;
+            fleet.memory = MemoryLimits::of_memory(self.memory_mb);
         }
         Ok(())
     }
--- a/crates/sedgerun/tests/frozen_settings.rs
+++ b/crates/sedgerun/tests/frozen_settings.rs
@@ -11,6 +11,7 @@
 
 use sedgerun::config::{Config, Sources};
 use sedgerun::tenants::Export;
+use sedgerun_cluster::memory_limits::MemoryLimits;
 use sedgerun_cluster::settings::Settings as FleetSettings;
 use sedgerun_policy::{
     DeduplicationScope, Idempotency, Permissions, RequestClass, RetryBudgetLimits, Rules, ServicePlan,
@@ -251,6 +252,7 @@
         region: Some("west".to_owned()),
         relay: false,
         sockets: 600,
+        memory: MemoryLimits::of_memory(96),
     };
     assert_eq!(fleet, expected);
     assert_eq!(fleet.role(), FollowerRole::Head);
--- a/crates/sedgerun/tests/frozen_voter.rs
+++ b/crates/sedgerun/tests/frozen_voter.rs
@@ -13,6 +13,7 @@
 use recorded::{Section, assert_sections, hex};
 use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
 use sedgerun_cluster::disk::{self, Identity, OpenedStore};
+use sedgerun_cluster::types::Entry;
 use sedgerun_replication::record::{self, RecordType};
 use sedgerun_replication::state::{ChangeOutcome, ReplicatedState};
 use serde_json::Value;
@@ -87,11 +88,16 @@
     (meta.collect(), log.collect())
 }
 
-/// What the program reads from a folder, without a new incarnation.
-fn opened(folder: &Path) -> OpenedStore {
-    let (database, opened) = disk::open_database(folder).expect("a store");
-    drop(database);
-    opened
+/// What the program reads from a folder, without a new incarnation. The log is read while the database is open.
+fn opened(folder: &Path) -> (Database, OpenedStore) {
+    disk::open_database(folder).expect("a store")
+}
+
+/// The log of an opened store, by index.
+fn log_of(opened: &OpenedStore) -> BTreeMap<u64, Entry> {
+    let entries = opened.log.entries(..).expect("a log");
+    let entries = entries.map(|entry| entry.map(|(entry, _)| (entry.log_id.index, entry)));
+    entries.collect::<Result<_, _>>().expect("entries")
 }
 
 /// Waits until the writer of a store has let go of its file.
@@ -137,10 +143,10 @@
 #[test]
 fn a_recorded_store_is_read_whole_and_would_be_written_alike() {
     let folder = Folder::copied("read");
-    let opened = opened(&folder.0);
+    let (_database, opened) = opened(&folder.0);
     let (mut lines, mut entries) = (Section::open(HELD, "meta"), Section::open(HELD, "log"));
     resealed(&opened).iter().for_each(|(name, bytes)| drop(lines.compare(name, bytes)));
-    for (index, entry) in &opened.log {
+    for (index, entry) in &log_of(&opened) {
         let sealed = record::encode(RecordType::Entry, entry).expect("a record");
         entries.compare(&index.to_string(), &sealed);
     }
@@ -151,7 +157,7 @@
 #[test]
 fn what_a_recorded_store_holds_fits_together() {
     let folder = Folder::copied("held");
-    let opened = opened(&folder.0);
+    let (_database, opened) = opened(&folder.0);
     let store = opened.identity.store;
     let (snapshot, state) = opened.snapshot.as_ref().expect("a snapshot");
     let vote = opened.vote.expect("a vote");
@@ -163,8 +169,9 @@
     let members = snapshot.last_membership.membership();
     assert_eq!(members.voter_ids().collect::<Vec<_>>(), [store]);
     assert_eq!(members.get_node(&store).expect("its own address").head, "n1");
-    let (first, last) =
-        (opened.log.keys().next().expect("a log"), opened.log.keys().next_back().expect("a log"));
+    let log = log_of(&opened);
+    let (first, last) = (log.keys().next().expect("a log"), log.keys().next_back().expect("a log"));
+    assert_eq!(opened.last.expect("a last entry").index, *last);
     assert_eq!(opened.purged.expect("an entry that the snapshot replaced").index + 1, *first);
     let covered = snapshot.last_log_id.expect("a position").index;
     let settled = opened.committed.expect("a settled entry").index;
@@ -172,10 +179,10 @@
     // What it held as a follower is older than what it has applied since.
     assert!(opened.followed.version > 0 && opened.followed.bans.contains_key("s-7"));
     let mut state: ReplicatedState = record::decode(RecordType::Snapshot, state).expect("a state");
-    for (_, entry) in opened.log.range(covered + 1..) {
-        if let openraft::EntryPayload::Normal(changes) = &entry.payload {
-            for change in changes {
-                assert!(matches!(state.apply(change.clone()), ChangeOutcome::Done { .. }));
+    for (_, entry) in log.range(covered + 1..) {
+        if let openraft::EntryPayload::Normal(batch) = &entry.payload {
+            for change in batch.changes().expect("changes") {
+                assert!(matches!(state.apply(&change), ChangeOutcome::Done { .. }));
             }
         }
     }
@@ -193,7 +200,7 @@
 #[test]
 fn a_recorded_store_begins_its_next_incarnation_and_keeps_all_else() {
     let folder = Folder::copied("opened");
-    let before = opened(&folder.0).identity;
+    let before = opened(&folder.0).1.identity;
     let (disk, opened) = disk::open(&folder.0).expect("a store");
     let next = Identity { incarnation: before.incarnation + 1, ..before };
     assert_eq!(opened.identity, next);
@@ -215,7 +222,7 @@
 fn the_program_starts_on_a_recorded_folder_and_goes_on_where_it_was() {
     let mut harness = Harness::laid(1, 2);
     copy(&recorded_folder(), &harness.dirs[HEAD]);
-    let recorded = opened(&Folder::copied("program").0);
+    let (_database, recorded) = opened(&Folder::copied("program").0);
     harness.up(HEAD);
     harness.until("it leads", || (harness.own(HEAD)["role"] == "leader").then_some(()));
     let own = harness.own(HEAD);
--- a/crates/sedgerun/tests/harness/mod.rs
+++ b/crates/sedgerun/tests/harness/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+pub mod large_tenants;
 #[path = "../standin/mod.rs"]
 pub mod standin;
 
@@ -31,6 +32,8 @@
     /// Further forms in the operator's file, and further variables, by head.
     pub forms: Vec<String>,
     pub variables: Vec<Vec<(String, String)>>,
+    /// The limits of all heads, in place of those of `config`.
+    pub limits: Option<Value>,
     /// The program that each head is started from.
     pub executables: Vec<PathBuf>,
     discovery: Discovery,
@@ -66,6 +69,7 @@
             voters,
             forms: vec![String::new(); heads],
             variables: vec![Vec::new(); heads],
+            limits: None,
             executables: vec![executable(); heads],
             discovery: Discovery::start(vec![]),
             root,
@@ -92,6 +96,9 @@
         let mut config = config(self.discovery.address);
         config["name"] = json!(format!("n{head}"));
         config["mgmt"] = json!("127.0.0.1:0");
+        if let Some(limits) = &self.limits {
+            config["limits"] = limits.clone();
+        }
         let named = |range: std::ops::Range<usize>| {
             let all = range.map(|to| format!(" \"n{to}={}\"", self.links[head][to].address));
             all.collect::<String>()
--- a/crates/sedgerun/tests/mixed_builds/cluster.rs
+++ b/crates/sedgerun/tests/mixed_builds/cluster.rs
@@ -106,11 +106,11 @@
 pub fn assert_snapshot_in(harness: &Harness, head: usize) {
     let copy = harness.dirs[head].with_extension("read");
     copy_store(&harness.dirs[head], &copy);
-    let (database, opened) = disk::open_database(&copy).expect("a store");
-    drop(database);
+    let (_database, opened) = disk::open_database(&copy).expect("a store");
     let (snapshot, _) = opened.snapshot.as_ref().expect("a snapshot");
     let covered = snapshot.last_log_id.map(|at| at.index);
-    let first = opened.log.keys().next().copied();
+    let first = opened.log.entries(..).expect("a log").next();
+    let first = first.map(|entry| entry.expect("an entry").0.log_id.index);
     assert!(covered.is_some() && (first.is_none() || first > Some(1)), "{covered:?} {first:?}");
 }
 
--- a/crates/sedgerun/tests/mixed_builds/store.rs
+++ b/crates/sedgerun/tests/mixed_builds/store.rs
@@ -5,6 +5,7 @@
     Contents, assert_all_hold, assert_latest, assert_snapshot_in, ban, copy_store, create_export, laid_out,
     own_contents, restart_from, start_from, started, stop, tenant_document,
 };
+use crate::harness::large_tenants::{TENANTS, put_until_committed, resident_kib};
 use crate::harness::{Harness, call, put, row};
 use serde_json::Value;
 use std::thread;
@@ -25,6 +26,7 @@
     a_voter_goes_on_from_a_folder_with_a_snapshot,
     a_follower_serves_alone_from_its_folder,
     an_older_copy_of_a_disk_is_recognised,
+    heads_start_over_many_large_changes,
 );
 
 fn write_contents(harness: &Harness, head: usize) -> Contents {
@@ -177,3 +179,29 @@
     let names = ["before", "after0", "after1", "after2", "after3", "after4", "after-the-watermarks"];
     assert_latest(&harness, other, &Contents::of(&names, &[""; 0]));
 }
+
+/// The log and the remembered changes that the other build wrote without a limit in bytes do not take a head over its
+/// limit, and the retry of a change gets its first outcome.
+fn heads_start_over_many_large_changes(direction: Direction) {
+    /// Memory that a head may have resident, in KiB.
+    const LIMIT_KIB: u64 = 48 * 1024;
+    const CHANGES: usize = 1500;
+    let mut harness = started(3, &[direction.writer; 3]);
+    for change in 0..CHANGES {
+        put_until_committed(&harness, change % 3, change % TENANTS, change / TENANTS);
+    }
+    let (number, form) = ((CHANGES - 1) % TENANTS, (CHANGES - 1) / TENANTS);
+    let first = put_until_committed(&harness, 0, number, form);
+    (0..3).for_each(|head| harness.kill(head));
+    (0..3).for_each(|head| start_from(&mut harness, head, direction.reader));
+    harness.leader(&[0, 1, 2]);
+    let is_bounded = direction.reader == Build::Current;
+    for _ in 0..150 {
+        for head in 0..3 {
+            let kib = resident_kib(&harness, head);
+            assert!(kib <= LIMIT_KIB || !is_bounded, "n{head} holds {kib} KiB");
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    assert_eq!(put_until_committed(&harness, 1, number, form), first);
+}
--- a/crates/testbed/src/cluster_simulator/heads.rs
+++ b/crates/testbed/src/cluster_simulator/heads.rs
@@ -10,7 +10,7 @@
 use sedgerun_cluster::disk::open_in_simulator;
 use sedgerun_cluster::environment::Connection;
 use sedgerun_cluster::node::{Node, NodeClient, NodeSetup};
-use sedgerun_cluster::settings::{DEFAULT_SOCKETS, Settings};
+use sedgerun_cluster::settings::{DEFAULT_MEMORY, DEFAULT_SOCKETS, Settings};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
@@ -95,6 +95,7 @@
             region: None,
             relay: false,
             sockets: DEFAULT_SOCKETS,
+            memory: DEFAULT_MEMORY,
         }
     }
 
--- a/crates/testbed/src/scale/hollow.rs
+++ b/crates/testbed/src/scale/hollow.rs
@@ -14,7 +14,7 @@
 use sedgerun_cluster::ClusterHandle;
 use sedgerun_cluster::disk::open_in_simulator;
 use sedgerun_cluster::node::{Node, NodeSetup};
-use sedgerun_cluster::settings::{DEFAULT_SOCKETS, Settings};
+use sedgerun_cluster::settings::{DEFAULT_MEMORY, DEFAULT_SOCKETS, Settings};
 use sedgerun_config::Faults;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -181,6 +181,7 @@
             region: Some(region_name(spec.region)),
             relay: spec.relay,
             sockets: if spec.relay { RELAY_SOCKETS } else { DEFAULT_SOCKETS },
+            memory: DEFAULT_MEMORY,
         }
     }
 
