9P: attached roots share a bound in bytes, and give way when it is used up

Callers saw: 9P clients that attach under ever new user names and go took the head over limits.memory_mb (696 clients with names of 60,000 bytes at 48 MB); the platform killed it, and other clients' reads had no answer.

Cause: a backend's connection kept the root of each (user, tree) that was ever attached, and its fid at the backend, for as long as it lasts, without a bound.

Change: the roots of all connections share a 64th of limits.memory_mb. Past it the least recently used one that no attempt uses gives way, and its fid is clunked with the next attempt. A root that no room can be made for is attached for the one attempt. Requests and fids share the user's name.

--- a/crates/sedgerun/src/backend/ninep/connection.rs
+++ b/crates/sedgerun/src/backend/ninep/connection.rs
@@ -5,6 +5,7 @@
 
 use super::fids::{FidGuard, FidTable};
 use super::in_flight::InFlightTags;
+use super::roots::RootMemory;
 use crate::descriptors::DescriptorPermit;
 use sedgerun_protocol_9p::{IO_HEADER_SIZE, MAX_MESSAGE_SIZE, Message, NO_TAG, VERSION, frame_length};
 use std::cell::{Cell, RefCell};
@@ -64,6 +65,7 @@
     pub(super) async fn open(
         address: SocketAddr,
         descriptor: DescriptorPermit,
+        roots: RootMemory,
     ) -> Result<Rc<Connection>, ConnectionLost> {
         let stream = TcpStream::connect(address).await.map_err(|_| ConnectionLost)?;
         let _ = stream.set_nodelay(true);
@@ -72,7 +74,7 @@
         let connection = Rc::new(Connection {
             frames,
             in_flight: RefCell::default(),
-            fids: RefCell::default(),
+            fids: RefCell::new(FidTable::new(roots)),
             is_closed: Cell::new(false),
             max_message_bytes: Cell::new(MAX_MESSAGE_SIZE),
             tasks: RefCell::default(),
--- a/crates/sedgerun/src/backend/ninep/fids.rs
+++ b/crates/sedgerun/src/backend/ninep/fids.rs
@@ -1,29 +1,16 @@
 //! The fids of a connection: roots of trees, clients' open files, and stale fids to be clunked.
 
-use sedgerun_protocol_9p::{NO_FID, Qid};
+use super::roots::{Root, RootMemory, RootTable, TreeKey};
+use sedgerun_protocol_9p::NO_FID;
 use std::cell::RefCell;
 use std::collections::HashMap;
-
-/// The user and tree that a root is attached for.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub(super) struct TreeKey {
-    pub(super) uname: String,
-    pub(super) tree: String,
-}
-
-/// The root of a tree, attached for one user.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Root {
-    pub(super) fid: u32,
-    pub(super) qid: Qid,
-}
+use std::rc::Rc;
 
 /// The fids of one connection.
-#[derive(Default)]
 pub(super) struct FidTable {
     last_fid: u32,
-    /// Attached roots, kept for the lifetime of the connection.
-    pub(super) roots: HashMap<TreeKey, Root>,
+    /// Attached roots.
+    roots: RootTable,
     /// Fids of clients' open files, by the clients' handles.
     open_files: HashMap<u64, u32>,
     /// Unused fids that are still to be clunked at the backend.
@@ -31,6 +18,32 @@
 }
 
 impl FidTable {
+    /// A table without fids, whose roots share this memory with those of other connections.
+    pub(super) fn new(roots: RootMemory) -> FidTable {
+        FidTable { last_fid: 0, roots: RootTable::new(roots), open_files: HashMap::new(), stale: Vec::new() }
+    }
+
+    /// The root kept for a user and a tree.
+    pub(super) fn root(&mut self, key: &TreeKey) -> Option<Rc<Root>> {
+        self.roots.get(key)
+    }
+
+    /// Keeps a root, if memory suffices for it and another attempt has not kept one for the same key;
+    /// otherwise its fid remains the caller's. Roots that give way are marked as stale.
+    pub(super) fn keep_root(&mut self, key: TreeKey, root: Root) -> Option<Rc<Root>> {
+        if self.roots.contains(&key) {
+            return None;
+        }
+        let (evicted, fits) = self.roots.make_room(&key);
+        self.stale.extend(evicted);
+        if !fits {
+            return None;
+        }
+        let root = Rc::new(root);
+        self.roots.insert(key, Rc::clone(&root));
+        Some(root)
+    }
+
     /// The fid cached for a client's open file.
     pub(super) fn cached(&self, handle: u64) -> Option<u32> {
         self.open_files.get(&handle).copied()
--- a/crates/sedgerun/src/backend/ninep/files.rs
+++ b/crates/sedgerun/src/backend/ninep/files.rs
@@ -4,9 +4,11 @@
 //! An attempt walks from the backend's root and so needs no state of earlier attempts.
 
 use super::connection::{Connection, ConnectionLost};
-use super::fids::{FidGuard, Root, TreeKey};
+use super::fids::FidGuard;
 use super::request::{FileOperation, NinePBackendRequest};
-use sedgerun_protocol_9p::{MAX_WALK_NAMES, MODE_ACCESS_MASK, Message, NO_FID, QID_DIRECTORY};
+use super::roots::{Root, TreeKey};
+use sedgerun_protocol_9p::{MAX_WALK_NAMES, MODE_ACCESS_MASK, Message, NO_FID, QID_DIRECTORY, Qid};
+use std::rc::Rc;
 
 /// Why an operation ended before its last step.
 pub(super) enum OperationStopped {
@@ -23,22 +25,48 @@
     }
 }
 
-/// The root of the request's tree, which is attached on first use.
-pub(super) async fn attach(
-    connection: &Connection,
+/// The root of a request's tree, attached for as long as this is held.
+pub(super) enum AttachedRoot<'a> {
+    /// It is kept for later attempts.
+    Kept(Rc<Root>),
+    /// There is no memory to keep it, and its fid becomes stale at the end of the attempt.
+    ForAttempt(FidGuard<'a>, Qid),
+}
+
+impl AttachedRoot<'_> {
+    fn fid(&self) -> u32 {
+        match self {
+            AttachedRoot::Kept(root) => root.fid,
+            AttachedRoot::ForAttempt(fid, _) => fid.fid(),
+        }
+    }
+
+    pub(super) fn qid(&self) -> Qid {
+        match self {
+            AttachedRoot::Kept(root) => root.qid,
+            AttachedRoot::ForAttempt(_, qid) => *qid,
+        }
+    }
+}
+
+/// The root of the request's tree, which is attached if none is kept.
+pub(super) async fn attach<'a>(
+    connection: &'a Connection,
     request: &NinePBackendRequest,
-) -> Result<Root, OperationStopped> {
-    let key = TreeKey { uname: request.uname.clone(), tree: request.tree.clone() };
-    if let Some(root) = connection.fids.borrow().roots.get(&key) {
-        return Ok(*root);
+) -> Result<AttachedRoot<'a>, OperationStopped> {
+    let key = TreeKey { uname: Rc::clone(&request.uname), tree: request.tree.clone() };
+    if let Some(root) = connection.fids.borrow_mut().root(&key) {
+        return Ok(AttachedRoot::Kept(root));
     }
     let fid = connection.new_fid();
-    let (uname, aname) = (request.uname.clone(), request.tree.clone());
+    let (uname, aname) = (request.uname.to_string(), request.tree.clone());
     match connection.call(Message::Tattach { fid: fid.fid(), afid: NO_FID, uname, aname }).await? {
         Message::Rattach { qid } => {
-            let root = Root { fid: fid.keep(), qid };
-            connection.fids.borrow_mut().roots.insert(key, root);
-            Ok(root)
+            let root = Root { fid: fid.fid(), qid };
+            let kept = connection.fids.borrow_mut().keep_root(key, root);
+            let Some(root) = kept else { return Ok(AttachedRoot::ForAttempt(fid, qid)) };
+            fid.keep();
+            Ok(AttachedRoot::Kept(root))
         }
         other => Err(OperationStopped::Response(other)),
     }
@@ -51,7 +79,7 @@
 ) -> Result<FidGuard<'a>, OperationStopped> {
     let root = attach(connection, request).await?;
     let file = connection.new_fid();
-    let mut from = root.fid;
+    let mut from = root.fid();
     let mut parts: Vec<&[String]> = request.path.chunks(MAX_WALK_NAMES).collect();
     if parts.is_empty() {
         parts.push(&[]);
--- a/crates/sedgerun/src/backend/ninep/mod.rs
+++ b/crates/sedgerun/src/backend/ninep/mod.rs
@@ -9,6 +9,7 @@
 mod in_flight;
 mod operation;
 mod request;
+mod roots;
 
 pub use request::{FileOperation, NinePBackendRequest};
 
@@ -16,6 +17,7 @@
 use crate::descriptors::Descriptors;
 use connection::{Connection, ConnectionLost};
 use operation::Operation;
+use roots::RootMemory;
 use sedgerun_dispatch::AttemptResult;
 use sedgerun_policy::{AttemptEnd, BackendId};
 use std::cell::RefCell;
@@ -35,17 +37,19 @@
     connections: RefCell<HashMap<BackendId, SharedConnection>>,
     connect_timeout: Duration,
     descriptors: Descriptors,
+    root_memory: RootMemory,
 }
 
 impl NinePBackend {
     /// Creates a client with no backend known yet. `connect_timeout` limits opening a connection, including
-    /// version negotiation.
-    pub fn new(connect_timeout: Duration, descriptors: Descriptors) -> NinePBackend {
+    /// version negotiation; `root_bytes` limits the memory for attached roots at all backends.
+    pub fn new(connect_timeout: Duration, descriptors: Descriptors, root_bytes: usize) -> NinePBackend {
         NinePBackend {
             addresses: RefCell::default(),
             connections: RefCell::default(),
             connect_timeout,
             descriptors,
+            root_memory: RootMemory::new(root_bytes),
         }
     }
 
@@ -64,7 +68,7 @@
         if let Some(old) = current.take() {
             old.close();
         }
-        let opening = Connection::open(address, self.descriptors.acquire());
+        let opening = Connection::open(address, self.descriptors.acquire(), self.root_memory.clone());
         let connection = tokio::time::timeout(self.connect_timeout, opening)
             .await
             .map_err(|_| AttemptEnd::ConnectTimeout)?
--- a/crates/sedgerun/src/backend/ninep/operation.rs
+++ b/crates/sedgerun/src/backend/ninep/operation.rs
@@ -43,7 +43,7 @@
         match &self.request.op {
             FileOperation::Attach => {
                 let root = attach(self.connection, self.request).await?;
-                Ok(Message::Rattach { qid: root.qid })
+                Ok(Message::Rattach { qid: root.qid() })
             }
             FileOperation::Walk { names } => self.walk_names(names).await,
             FileOperation::Open { mode } => self.open(*mode).await,
--- a/crates/sedgerun/src/backend/ninep/request.rs
+++ b/crates/sedgerun/src/backend/ninep/request.rs
@@ -1,6 +1,7 @@
 //! A 9P client's operation, independent of the connection and fids that serve it.
 
 use bytes::Bytes;
+use std::rc::Rc;
 
 /// An operation on a file.
 #[derive(Clone, Debug, PartialEq)]
@@ -38,7 +39,7 @@
 #[derive(Debug)]
 pub struct NinePBackendRequest {
     /// User name for the attach.
-    pub uname: String,
+    pub uname: Rc<str>,
     /// Name of the file tree at the backend (`aname`).
     pub tree: String,
     /// Path of the file from the tree's root.
--- a/crates/sedgerun/src/frontend/ninep/fids.rs
+++ b/crates/sedgerun/src/frontend/ninep/fids.rs
@@ -13,7 +13,7 @@
 pub(super) struct Fid {
     pub(super) export: Rc<Export>,
     /// The user name given at attach.
-    pub(super) uname: String,
+    pub(super) uname: Rc<str>,
     /// The path from the export's root, a name per element.
     pub(super) path: Vec<String>,
     /// The mode that the file is open in; `None` if it is not open.
--- a/crates/sedgerun/src/frontend/ninep/operations.rs
+++ b/crates/sedgerun/src/frontend/ninep/operations.rs
@@ -59,7 +59,7 @@
         fids.check_available(number, max_fids)?;
         let export = self.tenants.borrow().export(export_name);
         let export = export.ok_or_else(|| NinePError::UnknownExport(export_name.to_owned()))?;
-        let root = Fid { export, uname, path: Vec::new(), open_mode: None, handle: self.new_handle() };
+        let root = Fid { export, uname: uname.into(), path: Vec::new(), open_mode: None, handle: self.new_handle() };
         let reply = self.submit(operation, &root, FileOperation::Attach).await?;
         // Another operation of the session may have used the number in the meantime.
         fids.check_available(number, max_fids)?;
--- a/crates/sedgerun/src/frontend/ninep/submission.rs
+++ b/crates/sedgerun/src/frontend/ninep/submission.rs
@@ -10,6 +10,7 @@
 use sedgerun_dispatch::{FinalResponse, RequestSpec};
 use sedgerun_policy::Micros;
 use sedgerun_protocol_9p::{MODE_TRUNCATE, Message};
+use std::rc::Rc;
 
 /// Time after which a client may retry a request that the dispatch service does not accept at present.
 const NOT_SUBMITTED_RETRY: Micros = 100_000;
@@ -30,7 +31,7 @@
         }
         let spec = self.request_spec(fid, &op);
         let backend_request = NinePBackendRequest {
-            uname: fid.uname.clone(),
+            uname: Rc::clone(&fid.uname),
             tree: export.tree.clone(),
             path: fid.path.clone(),
             handle: fid.handle,
--- a/crates/sedgerun/src/resource_limits.rs
+++ b/crates/sedgerun/src/resource_limits.rs
@@ -42,6 +42,8 @@
     pub ninep_max_in_flight: usize,
     /// The most fids of a 9P client.
     pub ninep_fids: usize,
+    /// Bytes that the attached roots at 9P backends may take up, all together.
+    pub ninep_root_bytes: usize,
 }
 
 impl ResourceLimits {
@@ -63,6 +65,7 @@
             ninep_clients: (sockets / 6).min(memory_mb).max(1),
             ninep_max_in_flight: (memory_mb / 4).clamp(4, 64),
             ninep_fids: (4 * memory_mb).clamp(64, 4096),
+            ninep_root_bytes: memory_mb << 14,
         }
     }
 }
