9P: the fids of a session are bounded in bytes, and not by their number alone

Callers saw: nothing yet; found on a path related to the attached roots. Clients whose fids have long user names take a head over limits.memory_mb, which kills it for everybody.

Cause: a session has 4 fids for each MB, each with its own copy of the user name (up to 64 KiB) and of the path; the name of a file that is created or renamed was added to a path without the check that a walk makes.

Change: the fids of a session have a bound in bytes, a quarter of limits.memory_mb divided by the clients that a head accepts. An attach, walk, create or rename past it gets an error before anything goes to a backend; create and rename check the length of the path.

--- a/crates/sedgerun/src/frontend/ninep/error.rs
+++ b/crates/sedgerun/src/frontend/ninep/error.rs
@@ -31,6 +31,9 @@
     /// The session has reached its limit of fids.
     #[error("too many fids")]
     TooManyFids,
+    /// The session's fids would take up more memory than they may.
+    #[error("the names of the fids are too long")]
+    FidsTooLarge,
     /// The operation requires a fid that is not open.
     #[error("fid is open")]
     FidIsOpen,
--- a/crates/sedgerun/src/frontend/ninep/fids.rs
+++ b/crates/sedgerun/src/frontend/ninep/fids.rs
@@ -22,51 +22,105 @@
     pub(super) handle: u64,
 }
 
+/// Memory of a fid besides its names, in bytes.
+const FID_BYTES: usize = 160;
+/// Memory of a name in a path besides its text, in bytes.
+const NAME_BYTES: usize = 40;
+
 impl Fid {
+    /// The memory that the fid takes up, in bytes.
+    fn bytes(&self) -> usize {
+        let path: usize = self.path.iter().map(|name| NAME_BYTES + name.len()).sum();
+        FID_BYTES + self.uname.len() + path
+    }
+
+    /// Changes the last name of the path. A directory's root has none, and an empty name means no change.
+    pub(super) fn rename(&mut self, name: &str) {
+        if let Some(last) = self.path.last_mut().filter(|_| !name.is_empty()) {
+            name.clone_into(last);
+        }
+    }
+
     /// Checks that the fid is not open.
     pub(super) fn check_not_open(&self) -> Result<(), NinePError> {
         if self.open_mode.is_some() { Err(NinePError::FidIsOpen) } else { Ok(()) }
     }
 }
 
+/// The limits on the fids of a session.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct FidLimits {
+    /// Number of fids.
+    pub(super) count: usize,
+    /// Memory of all fids, in bytes.
+    pub(super) bytes: usize,
+}
+
+#[derive(Default)]
+struct FidTableContents {
+    fids: HashMap<u32, Fid>,
+    /// Memory of all fids, in bytes.
+    bytes: usize,
+}
+
 /// The fids of a session by number.
 #[derive(Default)]
-pub(super) struct FidTable(RefCell<HashMap<u32, Fid>>);
+pub(super) struct FidTable(RefCell<FidTableContents>);
 
 impl FidTable {
     /// A copy of a fid.
     pub(super) fn get(&self, number: u32) -> Result<Fid, NinePError> {
-        self.0.borrow().get(&number).cloned().ok_or(NinePError::UnknownFid)
+        self.0.borrow().fids.get(&number).cloned().ok_or(NinePError::UnknownFid)
     }
 
-    /// Checks that a new fid can have this number, and that the table has fewer than `max` fids.
-    pub(super) fn check_available(&self, number: u32, max: usize) -> Result<(), NinePError> {
-        let fids = self.0.borrow();
-        if number == NO_FID || fids.contains_key(&number) {
+    /// Checks that a new fid can have this number, and that the table has fewer fids than the limit.
+    pub(super) fn check_available(&self, number: u32, limits: FidLimits) -> Result<(), NinePError> {
+        let contents = self.0.borrow();
+        if number == NO_FID || contents.fids.contains_key(&number) {
             return Err(NinePError::FidInUse);
         }
-        if fids.len() >= max { Err(NinePError::TooManyFids) } else { Ok(()) }
+        if contents.fids.len() >= limits.count { Err(NinePError::TooManyFids) } else { Ok(()) }
+    }
+
+    /// Checks that memory suffices for a fid that is added, or takes the place of the one with this number.
+    pub(super) fn check_memory(&self, number: u32, fid: &Fid, limits: FidLimits) -> Result<(), NinePError> {
+        let contents = self.0.borrow();
+        let replaced = contents.fids.get(&number).map_or(0, Fid::bytes);
+        if contents.bytes - replaced + fid.bytes() > limits.bytes {
+            return Err(NinePError::FidsTooLarge);
+        }
+        Ok(())
     }
 
     /// Adds a fid, or replaces it.
     pub(super) fn insert(&self, number: u32, fid: Fid) {
-        self.0.borrow_mut().insert(number, fid);
+        let contents = &mut *self.0.borrow_mut();
+        contents.bytes += fid.bytes();
+        if let Some(replaced) = contents.fids.insert(number, fid) {
+            contents.bytes -= replaced.bytes();
+        }
     }
 
     /// Changes a fid, if it still exists.
     pub(super) fn update(&self, number: u32, change: impl FnOnce(&mut Fid)) {
-        if let Some(fid) = self.0.borrow_mut().get_mut(&number) {
+        let contents = &mut *self.0.borrow_mut();
+        if let Some(fid) = contents.fids.get_mut(&number) {
+            contents.bytes -= fid.bytes();
             change(fid);
+            contents.bytes += fid.bytes();
         }
     }
 
     /// Removes a fid.
     pub(super) fn remove(&self, number: u32) -> Result<Fid, NinePError> {
-        self.0.borrow_mut().remove(&number).ok_or(NinePError::UnknownFid)
+        let contents = &mut *self.0.borrow_mut();
+        let removed = contents.fids.remove(&number).ok_or(NinePError::UnknownFid)?;
+        contents.bytes -= removed.bytes();
+        Ok(removed)
     }
 
     /// Removes and returns all fids.
     pub(super) fn take_all(&self) -> Vec<Fid> {
-        std::mem::take(&mut *self.0.borrow_mut()).into_values().collect()
+        std::mem::take(&mut *self.0.borrow_mut()).fids.into_values().collect()
     }
 }
--- a/crates/sedgerun/src/frontend/ninep/mod.rs
+++ b/crates/sedgerun/src/frontend/ninep/mod.rs
@@ -29,6 +29,7 @@
 use crate::config::Config;
 use crate::dispatch_service::DispatchService;
 use crate::tenants::TenantRegistry;
+use fids::FidLimits;
 use session::Session;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -97,6 +98,12 @@
         sessions.values().filter(closing).for_each(|served| served.task.abort());
     }
 
+    /// The limits on the fids of one session.
+    fn fid_limits(&self) -> FidLimits {
+        let limits = &self.config.resource_limits;
+        FidLimits { count: limits.ninep_fids, bytes: limits.ninep_fid_bytes }
+    }
+
     /// Allocates a handle that identifies a client's open file at backends.
     fn new_handle(&self) -> u64 {
         self.next_handle.replace(self.next_handle.get() + 1)
--- a/crates/sedgerun/src/frontend/ninep/open.rs
+++ b/crates/sedgerun/src/frontend/ninep/open.rs
@@ -3,6 +3,7 @@
 use super::NinePFrontend;
 use super::error::NinePError;
 use super::session::{Operation, Session};
+use super::walk::check_path_size;
 use crate::backend::ninep::FileOperation;
 use sedgerun_protocol_9p::Message;
 
@@ -38,6 +39,10 @@
         if name.is_empty() || name == "." || name == ".." || name.contains('/') {
             return Err(NinePError::MalformedName);
         }
+        let mut file = directory.clone();
+        file.path.push(name.clone());
+        check_path_size(&file.path)?;
+        session.fids.check_memory(number, &file, self.fid_limits())?;
         let reply = self
             .submit(operation, &directory, FileOperation::Create { name: name.clone(), perm, mode })
             .await?;
--- a/crates/sedgerun/src/frontend/ninep/operations.rs
+++ b/crates/sedgerun/src/frontend/ninep/operations.rs
@@ -4,6 +4,7 @@
 use super::error::NinePError;
 use super::fids::Fid;
 use super::session::Operation;
+use super::walk::check_path_size;
 use crate::backend::ninep::FileOperation;
 use bytes::Bytes;
 use sedgerun_protocol_9p::{MODE_ACCESS_MASK, MODE_REMOVE_ON_CLOSE, MODE_WRITE, Message, NO_FID, stat_name};
@@ -55,14 +56,17 @@
         if authentication_fid != NO_FID {
             return Err(NinePError::NoAuthentication);
         }
-        let (fids, max_fids) = (&operation.session.fids, self.config.resource_limits.ninep_fids);
-        fids.check_available(number, max_fids)?;
+        let (fids, limits) = (&operation.session.fids, self.fid_limits());
+        fids.check_available(number, limits)?;
         let export = self.tenants.borrow().export(export_name);
         let export = export.ok_or_else(|| NinePError::UnknownExport(export_name.to_owned()))?;
-        let root = Fid { export, uname: uname.into(), path: Vec::new(), open_mode: None, handle: self.new_handle() };
+        let root =
+            Fid { export, uname: uname.into(), path: Vec::new(), open_mode: None, handle: self.new_handle() };
+        fids.check_memory(number, &root, limits)?;
         let reply = self.submit(operation, &root, FileOperation::Attach).await?;
         // Another operation of the session may have used the number in the meantime.
-        fids.check_available(number, max_fids)?;
+        fids.check_available(number, limits)?;
+        fids.check_memory(number, &root, limits)?;
         if matches!(reply, Message::Rattach { .. }) {
             fids.insert(number, root);
         }
@@ -128,13 +132,13 @@
         let fids = &operation.session.fids;
         let fid = fids.get(number)?;
         let name = stat_name(&stat)?;
+        let mut renamed = fid.clone();
+        renamed.rename(&name);
+        check_path_size(&renamed.path)?;
+        fids.check_memory(number, &renamed, self.fid_limits())?;
         let reply = self.submit(operation, &fid, FileOperation::Wstat { stat }).await?;
         if matches!(reply, Message::Rwstat) && !name.is_empty() {
-            fids.update(number, |fid| {
-                if let Some(last) = fid.path.last_mut() {
-                    *last = name;
-                }
-            });
+            fids.update(number, |fid| fid.rename(&name));
         }
         Ok(reply)
     }
--- a/crates/sedgerun/src/frontend/ninep/walk.rs
+++ b/crates/sedgerun/src/frontend/ninep/walk.rs
@@ -22,13 +22,15 @@
         new_number: u32,
         names: Vec<String>,
     ) -> Result<Message, NinePError> {
-        let (fids, max_fids) = (&operation.session.fids, self.config.resource_limits.ninep_fids);
+        let (fids, limits) = (&operation.session.fids, self.fid_limits());
         let from = fids.get(number)?;
         from.check_not_open()?;
         if new_number != number {
-            fids.check_available(new_number, max_fids)?;
+            fids.check_available(new_number, limits)?;
         }
         let path = resolve_path(&from.path, &names)?;
+        let to = Fid { path, handle: self.new_handle(), ..from.clone() };
+        fids.check_memory(new_number, &to, limits)?;
         let steps = names.len();
         let reply = if steps == 0 {
             Message::Rwalk { qids: Vec::new() }
@@ -38,9 +40,10 @@
         if matches!(&reply, Message::Rwalk { qids } if qids.len() == steps) {
             // Another operation of the session may have used the number in the meantime.
             if new_number != number {
-                fids.check_available(new_number, max_fids)?;
+                fids.check_available(new_number, limits)?;
             }
-            fids.insert(new_number, Fid { path, handle: self.new_handle(), ..from });
+            fids.check_memory(new_number, &to, limits)?;
+            fids.insert(new_number, to);
         }
         Ok(reply)
     }
@@ -59,9 +62,15 @@
             name => path.push(name.to_owned()),
         }
     }
+    check_path_size(&path)?;
+    Ok(path)
+}
+
+/// Checks the number of names in a path, and its bytes.
+pub(super) fn check_path_size(path: &[String]) -> Result<(), NinePError> {
     let bytes: usize = path.iter().map(|name| name.len() + 1).sum();
     if path.len() > MAX_PATH_NAMES || bytes > MAX_PATH_BYTES {
         return Err(NinePError::PathTooDeep);
     }
-    Ok(path)
+    Ok(())
 }
--- a/crates/sedgerun/src/resource_limits.rs
+++ b/crates/sedgerun/src/resource_limits.rs
@@ -42,6 +42,8 @@
     pub ninep_max_in_flight: usize,
     /// The most fids of a 9P client.
     pub ninep_fids: usize,
+    /// Bytes that the fids of a 9P client may take up.
+    pub ninep_fid_bytes: usize,
     /// Bytes that the attached roots at 9P backends may take up, all together.
     pub ninep_root_bytes: usize,
 }
@@ -53,6 +55,7 @@
         // A client that sends as fast as it can costs up to 128 KiB before it is cut off.
         let most_clients = (sockets * 5 / 8).min(5 * memory_mb).max(sockets / 3);
         let list_bytes = (memory_mb * LIST_BYTES_PER_MIB).max(MIN_LIST_BYTES);
+        let ninep_clients = (sockets / 6).min(memory_mb).max(1);
         ResourceLimits {
             idle_client_threshold: clients,
             max_clients: most_clients,
@@ -62,9 +65,10 @@
             max_response_body_bytes: (memory_mb << 15).clamp(1 << 20, 4 << 20),
             request_body_bytes: memory_mb << 17,
             list: ListBounds { bytes: list_bytes, entries: list_bytes / LIST_BYTES_PER_ENTRY },
-            ninep_clients: (sockets / 6).min(memory_mb).max(1),
+            ninep_clients,
             ninep_max_in_flight: (memory_mb / 4).clamp(4, 64),
             ninep_fids: (4 * memory_mb).clamp(64, 4096),
+            ninep_fid_bytes: (memory_mb << 18) / ninep_clients,
             ninep_root_bytes: memory_mb << 14,
         }
     }
--- a/crates/sedgerun/tests/ninep_memory.rs
+++ b/crates/sedgerun/tests/ninep_memory.rs
@@ -1,4 +1,5 @@
-//! The memory that 9P clients' names take up at the backends' connections after the clients have gone.
+//! The memory that 9P clients' names take up: at the backends' connections after the clients have gone, and in the
+//! sessions while they stay.
 
 mod standin;
 
@@ -72,3 +73,33 @@
     assert!(matches!(attach(&mut again, 0, long_name(0)), Message::Rattach { .. }));
     assert!(matches!(again.walk(1, &["proof"]), Message::Rwalk { .. }));
 }
+
+/// Guards against sessions whose fids are bounded by their number alone, each with a name as long as a message.
+#[test]
+fn fids_with_long_names_do_not_take_a_head_over_its_limit() {
+    const CLIENTS: usize = 20;
+    const FIDS: u32 = 100;
+    let (_backend, _discovery, program) = start();
+    let address = program.ninep.expect("9P");
+    let mut clients: Vec<Client> = (0..CLIENTS).map(|_| connect(address)).collect();
+    for (number, client) in clients.iter_mut().enumerate() {
+        let mut refused = 0;
+        for fid in 0..FIDS {
+            match attach(client, fid, long_name(number)) {
+                Message::Rattach { .. } => {}
+                Message::Rerror { ename } if ename == "the names of the fids are too long" => refused += 1,
+                other => panic!("client {number}, fid {fid}: {other:?}"),
+            }
+        }
+        assert!(refused > 0, "client {number} has {FIDS} fids");
+    }
+    assert_within_limit(&program);
+    // A session goes on, and has room again for what it closes.
+    let client = &mut clients[0];
+    assert!(matches!(client.walk(FIDS, &["proof"]), Message::Rerror { .. }));
+    assert_eq!(client.call(Message::Tclunk { fid: 1 }), Message::Rclunk);
+    assert!(matches!(client.walk(FIDS, &["proof"]), Message::Rwalk { .. }));
+    // Another client is not concerned.
+    let mut sound = Client::attach(address, "press");
+    assert!(matches!(sound.walk(1, &["proof"]), Message::Rwalk { .. }));
+}
