admin: a head without a fleet refuses tenants that it has no memory for

Callers saw: nothing yet; found on a path related to the memory of a fleet's heads. Tenants put in place one after the other take a head over limits.memory_mb, which kills it.

Cause: the registry of a head without a fleet had no bound, neither in number nor in bytes.

--- a/crates/sedgerun/src/admin/tenants.rs
+++ b/crates/sedgerun/src/admin/tenants.rs
@@ -75,7 +75,7 @@
         for (_, export) in exports {
             add_export(&mut changed, name, export)?;
         }
-        *self.tenants.borrow_mut() = changed;
+        self.replace_tenants(changed)?;
         Ok(self.put_response(name, is_new))
     }
 
@@ -87,10 +87,23 @@
         let mut changed = self.tenants.borrow().clone();
         let is_new = !changed.remove_export(tenant, export);
         add_export(&mut changed, tenant, read)?;
-        *self.tenants.borrow_mut() = changed;
+        self.replace_tenants(changed)?;
         Ok(self.put_response(tenant, is_new))
     }
 
+    /// Puts changed tenants in place, unless they take up more memory than before and than they may.
+    fn replace_tenants(&self, changed: TenantRegistry) -> Result<(), ApiResponse> {
+        let (bytes, limit) = (changed.memory_bytes(), self.config.resource_limits.tenant_bytes);
+        if bytes > limit && bytes > self.tenants.borrow().memory_bytes() {
+            let what = format!(
+                "the change would take the tenants to {bytes} bytes of memory, over the {limit} that limits.memory_mb allows"
+            );
+            return Err(ApiResponse::error(StatusCode::CONFLICT, what));
+        }
+        *self.tenants.borrow_mut() = changed;
+        Ok(())
+    }
+
     fn delete_tenant(&self, name: &str) -> ApiResponse {
         if !self.tenants.borrow_mut().remove_tenant(name) {
             return ApiResponse::not_found(format!("no tenant {name}"));
--- a/crates/sedgerun/src/tenants.rs
+++ b/crates/sedgerun/src/tenants.rs
@@ -171,6 +171,11 @@
     pub name: String,
 }
 
+/// Memory of a tenant besides its name, in bytes.
+const TENANT_BYTES: usize = 160;
+/// Memory of an export besides its names, in bytes.
+const EXPORT_BYTES: usize = 320;
+
 /// The tenants and their exports.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct TenantRegistry {
@@ -193,6 +198,14 @@
         &self.tenants
     }
 
+    /// Estimate of the memory that the tenants take up, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        let exports = |exports: &BTreeMap<String, Rc<Export>>| -> usize {
+            exports.values().map(|export| EXPORT_BYTES + 2 * export.name.len() + export.tree.len()).sum()
+        };
+        self.tenants.iter().map(|(name, all)| TENANT_BYTES + name.len() + exports(all)).sum()
+    }
+
     /// Adds a tenant without exports, where there is no such tenant.
     pub fn add_tenant(&mut self, tenant: &str) {
         self.tenants.entry(tenant.to_owned()).or_default();
--- a/crates/sedgerun/tests/admin.rs
+++ b/crates/sedgerun/tests/admin.rs
@@ -3,6 +3,7 @@
 mod standin;
 
 use sedgerun_protocol_9p::Message;
+use serde_json::json;
 use standin::{Client, Discovery, Fault, Program, StandIn, config, operator};
 use std::thread;
 use std::time::Duration;
@@ -60,3 +61,39 @@
     assert_eq!(api("GET /v2", "").0, 404);
     assert_eq!(api("GET /v1/status", "").1["ninepSessions"], 1);
 }
+
+/// Guards against tenants that are accepted until the head is over its memory limit.
+#[test]
+fn a_tenant_that_a_head_without_a_fleet_has_no_memory_for_is_refused() {
+    const EXPORTS: usize = 250;
+    /// More tenants than fit into the memory of a head of 32 MB.
+    const TOO_MANY: usize = 200;
+    let backend = StandIn::start("s-1", 3, Duration::ZERO, Fault::None);
+    let discovery = Discovery::start(vec![backend.entry("ready")]);
+    let operator_file = format!("{}\nadmin.listen=127.0.0.1:0\nadmin.token={TOKEN}", operator(&[&backend]));
+    let mut config = config(discovery.address);
+    config["limits"] = json!({"cores": 1.0, "memory_mb": 32, "sockets": 384});
+    let program = Program::start(&config, Some(&operator_file));
+    let api = |request: &str, body: &str| call(&program, TOKEN, request, body);
+    let tenant = |number: usize| {
+        let export = |index: usize| {
+            json!({"name": format!("e{number}-{index}"), "volume": "b1", "plan": "even", "shard": 3,
+                "readClass": "read", "writeClass": "write", "largeClass": "bulk"})
+        };
+        json!({"exports": (0..EXPORTS).map(export).collect::<Vec<_>>()}).to_string()
+    };
+    let answers =
+        (0..TOO_MANY).map(|number| (number, api(&format!("PUT /v1/tenants/t{number}"), &tenant(number))));
+    let refused = answers.into_iter().find(|(_, (status, _))| *status != 201);
+    let (number, (status, refusal)) = refused.expect("a tenant is refused");
+    let reason = refusal["error"].as_str().unwrap_or_default();
+    assert!(
+        status == 409 && reason.contains("limits.memory_mb") && number > 1,
+        "{number}: {status} {reason}"
+    );
+    // What is there can be changed, and one that goes makes room.
+    assert_eq!(api("PUT /v1/tenants/t0", &tenant(0)).0, 200);
+    assert_eq!(api("DELETE /v1/tenants/t1", "").0, 204);
+    assert_eq!(api(&format!("PUT /v1/tenants/t{number}"), &tenant(number)).0, 201);
+    assert!(program.peak_memory_kib() <= 32 * 1024, "{}", program.peak_memory_kib());
+}
