admin: changes that wait for a fleet share a bound in bytes

Callers saw: nothing yet; found by reading, on a path related to the memory of a fleet's heads.

Cause: up to 64 requests of 64 KiB wait at the administration API while there is no majority, each several times its body in memory, bounded by the number of connections alone.

Change: requests that wait share an eighth of limits.memory_mb, at 16 times their bodies; past it a 503 at once, which says that nothing is queued and that it may be repeated.

Whether a head of 48 MB went over its limit before by this path was not measured.

--- a/crates/sedgerun/src/admin/cluster.rs
+++ b/crates/sedgerun/src/admin/cluster.rs
@@ -11,6 +11,8 @@
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 
+/// Memory that a change takes up while it waits, for each byte of its request's body.
+const CHANGE_BYTES_PER_BODY_BYTE: usize = 16;
 /// The longest idempotency key that a caller may give a change, in bytes.
 const MAX_IDEMPOTENCY_KEY: usize = 128;
 
@@ -40,6 +42,11 @@
         resource: Resource<'_>,
         body: &[u8],
     ) -> Result<ApiResponse, ApiResponse> {
+        let _waiting =
+            self.waiting_changes.reserve(CHANGE_BYTES_PER_BODY_BYTE * body.len()).ok_or_else(|| {
+                let what = "the changes that wait at this head take up the memory for them: repeat it later";
+                ApiResponse::error(StatusCode::SERVICE_UNAVAILABLE, what)
+            })?;
         let command = self.command(request.method(), resource, body)?;
         let key = idempotency_key(request)?;
         let change = new_change(key, expected_version(request)?, command)
--- a/crates/sedgerun/src/admin/mod.rs
+++ b/crates/sedgerun/src/admin/mod.rs
@@ -10,6 +10,7 @@
 mod tenants;
 
 use self::response::ApiResponse;
+use crate::backend::MemoryBudget;
 use crate::config::Config;
 use crate::dispatch_service::DispatchService;
 use crate::frontend::ninep::NinePFrontend;
@@ -58,6 +59,8 @@
     pub vrrp: Option<Rc<VrrpRunner>>,
     /// The fleet that holds the tenants, where there is one.
     pub cluster: Option<Rc<ClusterHandle>>,
+    /// The memory for changes that wait for the fleet.
+    pub waiting_changes: MemoryBudget,
 }
 
 impl AdminApi {
--- a/crates/sedgerun/src/head/mod.rs
+++ b/crates/sedgerun/src/head/mod.rs
@@ -77,7 +77,8 @@
     let descriptors = Descriptors::new(config.max_descriptors);
     let http =
         HttpBackend::new(timeouts, answer_budget, descriptors.clone(), 2 * limits.descriptors_for_backends);
-    let ninep = NinePBackend::new(timeouts.dial, descriptors.clone(), limits.ninep_root_bytes);
+    let ninep =
+        NinePBackend::new(timeouts.dial, descriptors.clone(), limits.ninep_root_bytes);
     let backends = Backends::new(http, ninep, descriptors);
     for backend in &config.operator.ninep_backends {
         backends.ninep.addresses.borrow_mut().insert(backends.names.id_of(&backend.id), backend.address);
@@ -219,6 +220,7 @@
 
     fn start_admin(&self, listener: Option<TcpListener>) {
         let (Some(listener), Some(admin)) = (listener, &self.config.operator.admin) else { return };
+        let waiting_bytes = self.config.resource_limits.waiting_change_bytes;
         let api = Rc::new(AdminApi {
             admin: admin.clone(),
             config: Rc::clone(&self.config),
@@ -227,6 +229,7 @@
             ninep: Rc::clone(&self.ninep_frontend),
             vrrp: self.vrrp.clone(),
             cluster: self.cluster.clone(),
+            waiting_changes: MemoryBudget::new(waiting_bytes, waiting_bytes),
         });
         actix_rt::spawn(async move {
             if let Err(error) = api.serve(listener).await {
--- a/crates/sedgerun/src/resource_limits.rs
+++ b/crates/sedgerun/src/resource_limits.rs
@@ -34,6 +34,8 @@
     pub max_response_body_bytes: usize,
     /// Bytes that bodies of requests over 64 KiB may take up, all together: an eighth of memory.
     pub request_body_bytes: usize,
+    /// Bytes that changes waiting at the administration API of a fleet's head may take up, all together.
+    pub waiting_change_bytes: usize,
     /// Bytes that the tenants of a head outside a fleet may take up.
     pub tenant_bytes: usize,
     /// The largest endpoint list.
@@ -66,6 +68,7 @@
             response_body_bytes: memory_mb << 18,
             max_response_body_bytes: (memory_mb << 15).clamp(1 << 20, 4 << 20),
             request_body_bytes: memory_mb << 17,
+            waiting_change_bytes: memory_mb << 17,
             tenant_bytes: memory_mb << 17,
             list: ListBounds { bytes: list_bytes, entries: list_bytes / LIST_BYTES_PER_ENTRY },
             ninep_clients,
--- a/crates/sedgerun/tests/fleet_memory.rs
+++ b/crates/sedgerun/tests/fleet_memory.rs
@@ -5,8 +5,8 @@
 
 mod harness;
 
-use harness::large_tenants::{TENANTS, put_tenant, put_until_committed, resident_kib};
-use harness::{Harness, call};
+use harness::large_tenants::{TENANTS, large_tenant, put_tenant, put_until_committed, resident_kib};
+use harness::{Harness, Said, call};
 use serde_json::{Value, json};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -144,3 +144,44 @@
     (0..VOTERS).for_each(|head| harness.synced(head));
     assert_within_limit(&harness, "with all tenants that fit");
 }
+
+/// Guards against changes that wait for a majority until they take their head over its limit: those past the memory for
+/// them are refused at once.
+#[test]
+fn large_changes_that_wait_for_a_majority_do_not_take_a_head_over_its_limit() {
+    const CLIENTS: usize = 64;
+    /// Exports of a tenant whose settings take almost 64 KiB.
+    const MANY_EXPORTS: usize = 300;
+    const ROUNDS: usize = 3;
+    let mut harness = started();
+    harness.kill(1);
+    harness.kill(2);
+    let api = harness.api(0);
+    let body = large_tenant(MANY_EXPORTS).to_string();
+    for _ in 0..ROUNDS {
+        let answers: Vec<Option<Said>> = thread::scope(|scope| {
+            let ask = |client: usize| {
+                let request = format!("PUT /v1/tenants/waiting-{client:02}");
+                let body = &body;
+                scope.spawn(move || call(api, &request, "", body))
+            };
+            let asked: Vec<_> = (0..CLIENTS).map(ask).collect();
+            asked.into_iter().map(|asked| asked.join().expect("a client")).collect()
+        });
+        let reasons: Vec<String> = answers
+            .iter()
+            .flatten()
+            .inspect(|said| assert_eq!(said.status, 503, "{said:?}"))
+            .map(|said| said.body["error"].as_str().unwrap_or_default().to_owned())
+            .collect();
+        assert!(
+            reasons.iter().any(|reason| reason.starts_with("the changes that wait at this head")),
+            "{reasons:?}"
+        );
+        assert!(reasons.iter().any(|reason| reason.contains("majority")), "{reasons:?}");
+    }
+    let peak = harness.program(0).peak_memory_kib();
+    assert!(peak <= MEMORY_MB * 1024, "n0 held {peak} KiB:\n{}", memory_metrics(&harness, 0));
+    harness.up(1);
+    put_until_committed(&harness, 0, 0, 0);
+}
--- a/crates/sedgerun/tests/harness/large_tenants.rs
+++ b/crates/sedgerun/tests/harness/large_tenants.rs
@@ -16,12 +16,21 @@
 
 /// The settings of a tenant, some 4 KB, in their N-th form.
 fn tenant(number: usize, form: usize) -> Value {
+    tenant_with(number, form, EXPORTS)
+}
+
+/// The settings of a tenant with so many exports.
+pub fn large_tenant(exports: usize) -> Value {
+    tenant_with(TENANTS, 0, exports)
+}
+
+fn tenant_with(number: usize, form: usize, exports: usize) -> Value {
     let export = |index: usize| {
         json!({"name": format!("press-{number:02}-{index:02}"), "tree": "horvat", "plan": "even", "shard": 3,
             "volume": format!("{:016x}", 0xb100 + 100 * number + index), "heads": 3, "readClass": "read",
             "writeClass": "write", "largeClass": "bulk", "largeBytes": 32_768 + form, "unitBytes": 16_384})
     };
-    json!({"exports": (0..EXPORTS).map(export).collect::<Vec<Value>>()})
+    json!({"exports": (0..exports).map(export).collect::<Vec<Value>>()})
 }
 
 pub fn put_tenant(harness: &Harness, head: usize, number: usize, form: usize) -> Option<Said> {
