replication: a head asks all voters before the followers that one sent it on to

Cause: the followers that a full voter names were inserted at random positions among the voters not asked yet, so that 16 of 18 candidates were followers.

Change: they are a list of their own, tried once the voters and relays of the round have been asked.

--- a/crates/replication/src/follow/selection.rs
+++ b/crates/replication/src/follow/selection.rs
@@ -10,7 +10,7 @@
 use rand_chacha::rand_core::Rng;
 
 /// Redirects add candidates only while fewer than this remain to be tried.
-const MAX_UNTRIED: usize = 64;
+const MAX_REDIRECTED: usize = 64;
 
 /// A random number below `bound`; 0 if `bound` is 0.
 pub(super) fn random_below(rng: &mut ChaCha8Rng, bound: u64) -> u64 {
@@ -38,8 +38,11 @@
     region: Option<String>,
     /// The heads named in the settings, which are always candidates.
     seeds: Vec<Peer>,
-    /// Candidates not yet tried in this round; the last one is tried next.
+    /// Voters and relays not yet tried in this round; the last one is tried next.
     untried: Vec<UpstreamCandidate>,
+    /// Followers of full heads, tried once no other candidate is left: those are further up in the tree, and
+    /// may have capacity.
+    redirected: Vec<UpstreamCandidate>,
     /// The relays; `None` until an upstream has sent a directory.
     directory: Option<RelayDirectory>,
     pub(super) avoidance: Avoidance,
@@ -55,6 +58,7 @@
             region: None,
             seeds: seeds.into_iter().filter(|seed| seed.head != own).collect(),
             untried: Vec::new(),
+            redirected: Vec::new(),
             directory: None,
             avoidance: Avoidance::default(),
             next_probe_index: 0,
@@ -118,10 +122,10 @@
         {
             return Some(UpstreamCandidate::relay(relay));
         }
-        if self.untried.is_empty() {
+        if self.untried.is_empty() && self.redirected.is_empty() {
             self.begin_round(voters, rng);
         }
-        self.untried.pop()
+        self.untried.pop().or_else(|| self.redirected.pop())
     }
 
     /// Lists all known heads, each once and in random order, so that not all heads of a cluster that starts
@@ -146,11 +150,11 @@
     pub(super) fn add_untried(&mut self, peers: Vec<Peer>, rng: &mut ChaCha8Rng) {
         for peer in peers {
             let is_known = peer.head == self.own
-                || self.untried.iter().any(|known| known.peer.head == peer.head)
+                || self.untried.iter().chain(&self.redirected).any(|known| known.peer.head == peer.head)
                 || self.directory.as_ref().is_some_and(|directory| directory.get(&peer.head).is_some());
-            if !is_known && self.untried.len() < MAX_UNTRIED {
-                let index = random_below(rng, self.untried.len() as u64 + 1) as usize;
-                self.untried.insert(index, UpstreamCandidate { peer, is_relay: false });
+            if !is_known && self.redirected.len() < MAX_REDIRECTED {
+                let index = random_below(rng, self.redirected.len() as u64 + 1) as usize;
+                self.redirected.insert(index, UpstreamCandidate { peer, is_relay: false });
             }
         }
     }
@@ -158,6 +162,7 @@
     /// Ends the round, as an upstream was found.
     pub(super) fn end_round(&mut self) {
         self.untried.clear();
+        self.redirected.clear();
     }
 
     /// Whether there is a relay that is not avoided now.
--- a/crates/replication/tests/follow.rs
+++ b/crates/replication/tests/follow.rs
@@ -123,3 +123,27 @@
     let admission = followers.admit(late + FOLLOWER_TIMEOUT_MS + 1, polling_follower(same_name, None), false);
     assert_eq!(admission, Admission::Admitted, "the first one has timed out");
 }
+
+/// Guards against heads that hang on another head although a voter has capacity: the first voter that is full sent
+/// them on to its followers before they had asked the other voters.
+#[test]
+fn a_follower_asks_all_voters_before_the_followers_of_a_full_one() {
+    const SEEDS: u64 = 100;
+    let voters = ["k1", "k2", "k3"];
+    let peers: Vec<Peer> = (0..MAX_FOLLOWERS).map(|i| peer(&format!("f{i}"))).collect();
+    for seed in 0..SEEDS {
+        let mut follower = Follower::new("f99", voters.map(peer).to_vec(), seed);
+        let (mut view, mut now) = (View::default(), 1);
+        let mut asked: Vec<String> = Vec::new();
+        for _ in voters {
+            asked.push(next_poll(&mut follower, &mut now, &view).peer.head);
+            let redirect = Redirect { directory: None, peers: peers.clone() };
+            let rejected = follower.on_response(now, &mut view, SubscribeResponse::Redirect(redirect));
+            assert_eq!(rejected, Err(Rejection::Redirected));
+        }
+        let next = next_poll(&mut follower, &mut now, &view).peer.head;
+        assert!(next.starts_with('f'), "seed {seed}: {next} after {asked:?}");
+        asked.sort();
+        assert_eq!(asked, voters, "seed {seed}");
+    }
+}
