replication: stores that vote take up no capacity for followers

Operators saw: in a fleet that starts, voters serve fewer heads than 16; the rest hang one level deeper.

Cause: before the fleet begins its future voters follow each other. Their last polls counted among the followers for 5 s, just while all heads look for an upstream.

Change: Followers knows the voters of the membership and does not count them.

Result: voters_that_polled_before_they_voted_take_up_no_capacity needs the new call; without its exclusion the 15th head is sent on.

--- a/crates/cluster/src/upstream.rs
+++ b/crates/cluster/src/upstream.rs
@@ -47,7 +47,7 @@
         let follower = PollingFollower { downstream, role, bypass_relays, summary };
         let directory = self.directory();
         let relays_known = directory.as_ref().is_some_and(|directory| !directory.is_empty());
-        let admission = self.followers().admit(now(), follower, relays_known);
+        let admission = self.admit_follower(follower, relays_known);
         match admission {
             Admission::Admitted => {}
             Admission::RedirectedToRelays => return redirected(directory, subscription.cached, Vec::new()),
@@ -64,6 +64,14 @@
         PeerResponse::Subscribed(self.update_within_permits(&source, &subscription, store))
     }
 
+    /// Decides whether to serve a follower that polls.
+    fn admit_follower(&self, follower: PollingFollower, relays_known: bool) -> Admission {
+        let voters = self.state_machine.membership().voter_ids().collect();
+        let mut followers = self.followers();
+        followers.set_voters(voters);
+        followers.admit(now(), follower, relays_known)
+    }
+
     /// The update for a follower, or a retry-after if it is large and all permits for large transfers are
     /// taken.
     fn update_within_permits(
@@ -102,7 +110,7 @@
             bypass_relays: true,
             summary: subtree.map(SubtreeSummary::from_followers),
         };
-        let admission = self.followers().admit(now(), follower, false);
+        let admission = self.admit_follower(follower, false);
         match admission {
             Admission::Admitted => {}
             Admission::DuplicateName => return PeerResponse::Rejected(DUPLICATE_NAME.into()),
--- a/crates/replication/src/follow/followers.rs
+++ b/crates/replication/src/follow/followers.rs
@@ -9,7 +9,7 @@
 use crate::store::StoreId;
 use crate::subscribe::{MAX_SAMPLE, SubtreeSummary};
 use crate::time::Millis;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Maximum number of followers, direct and indirect, that one head reports in its status.
 const MAX_SUBTREE: usize = 512;
@@ -55,8 +55,10 @@
 #[derive(Debug)]
 pub struct Followers {
     by_store: BTreeMap<StoreId, KnownFollower>,
-    /// Maximum number of ordinary heads served; relays do not count towards it.
+    /// Maximum number of ordinary heads served; relays and voters do not count towards it.
     capacity: usize,
+    /// The stores that vote. They poll only until they vote, or to learn whether they still do.
+    voters: BTreeSet<StoreId>,
     /// Whether this head is a relay, which redirects no follower to other relays while it has capacity.
     is_relay: bool,
     last_sweep_at: Millis,
@@ -73,7 +75,13 @@
     /// heads.
     pub fn new(role: FollowerRole, capacity: usize) -> Followers {
         let is_relay = role == FollowerRole::Relay;
-        Followers { by_store: BTreeMap::new(), capacity, is_relay, last_sweep_at: 0 }
+        let voters = BTreeSet::new();
+        Followers { by_store: BTreeMap::new(), capacity, voters, is_relay, last_sweep_at: 0 }
+    }
+
+    /// Sets the stores that vote, which take up no capacity.
+    pub fn set_voters(&mut self, voters: BTreeSet<StoreId>) {
+        self.voters = voters;
     }
 
     fn sweep(&mut self, now: Millis) {
@@ -83,7 +91,9 @@
 
     /// Whether this head can serve another follower with this role.
     fn has_capacity(&self, role: FollowerRole) -> bool {
-        let served = self.by_store.values().filter(|known| known.role == role).count();
+        let counts =
+            |(store, known): &(&StoreId, &KnownFollower)| known.role == role && !self.voters.contains(store);
+        let served = self.by_store.iter().filter(counts).count();
         let capacity = match role {
             FollowerRole::Head => self.capacity,
             FollowerRole::Relay => MAX_RELAYS,
--- a/crates/replication/tests/follow.rs
+++ b/crates/replication/tests/follow.rs
@@ -147,3 +147,30 @@
         assert_eq!(asked, voters, "seed {seed}");
     }
 }
+
+/// Guards against voters that serve fewer heads than they may, as heads that followed them before they voted still took
+/// up capacity.
+#[test]
+fn voters_that_polled_before_they_voted_take_up_no_capacity() {
+    let mut followers = Followers::default();
+    let downstream = |i: u64| Downstream {
+        peer: peer(&format!("f{i}")),
+        store: i,
+        zone: None,
+        version: 0,
+        incarnation: 1,
+    };
+    let future_voters = [100, 101];
+    for store in future_voters {
+        assert_eq!(followers.admit(0, polling_follower(downstream(store), None), false), Admission::Admitted);
+    }
+    followers.set_voters(future_voters.into());
+    for i in 0..MAX_FOLLOWERS as u64 {
+        assert_eq!(
+            followers.admit(1, polling_follower(downstream(i), None), false),
+            Admission::Admitted,
+            "{i}"
+        );
+    }
+    assert_eq!(followers.admit(1, polling_follower(downstream(99), None), false), Admission::Full);
+}
--- a/crates/sedgerun/src/head/mod.rs
+++ b/crates/sedgerun/src/head/mod.rs
@@ -77,8 +77,7 @@
     let descriptors = Descriptors::new(config.max_descriptors);
     let http =
         HttpBackend::new(timeouts, answer_budget, descriptors.clone(), 2 * limits.descriptors_for_backends);
-    let ninep =
-        NinePBackend::new(timeouts.dial, descriptors.clone(), limits.ninep_root_bytes);
+    let ninep = NinePBackend::new(timeouts.dial, descriptors.clone(), limits.ninep_root_bytes);
     let backends = Backends::new(http, ninep, descriptors);
     for backend in &config.operator.ninep_backends {
         backends.ninep.addresses.borrow_mut().insert(backends.names.id_of(&backend.id), backend.address);
