9P: the memory for attached roots is a MemoryBudget, which was there already

Cause: RootMemory counted bytes taken and given back by hand; backend::MemoryBudget does that with reservations that return when they are dropped.

Change: a kept root holds a MemoryReservation; RootMemory, its calls and RootTable's Drop are gone. Bounds and behaviour are the same.

--- a/crates/sedgerun/src/backend/ninep/connection.rs
+++ b/crates/sedgerun/src/backend/ninep/connection.rs
@@ -5,7 +5,7 @@
 
 use super::fids::{FidGuard, FidTable};
 use super::in_flight::InFlightTags;
-use super::roots::RootMemory;
+use crate::backend::MemoryBudget;
 use crate::descriptors::DescriptorPermit;
 use sedgerun_protocol_9p::{IO_HEADER_SIZE, MAX_MESSAGE_SIZE, Message, NO_TAG, VERSION, frame_length};
 use std::cell::{Cell, RefCell};
@@ -65,7 +65,7 @@
     pub(super) async fn open(
         address: SocketAddr,
         descriptor: DescriptorPermit,
-        roots: RootMemory,
+        roots: MemoryBudget,
     ) -> Result<Rc<Connection>, ConnectionLost> {
         let stream = TcpStream::connect(address).await.map_err(|_| ConnectionLost)?;
         let _ = stream.set_nodelay(true);
--- a/crates/sedgerun/src/backend/ninep/fids.rs
+++ b/crates/sedgerun/src/backend/ninep/fids.rs
@@ -1,6 +1,7 @@
 //! The fids of a connection: roots of trees, clients' open files, and stale fids to be clunked.
 
-use super::roots::{Root, RootMemory, RootTable, TreeKey};
+use super::roots::{Root, RootTable, TreeKey};
+use crate::backend::MemoryBudget;
 use sedgerun_protocol_9p::NO_FID;
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -19,7 +20,7 @@
 
 impl FidTable {
     /// A table without fids, whose roots share this memory with those of other connections.
-    pub(super) fn new(roots: RootMemory) -> FidTable {
+    pub(super) fn new(roots: MemoryBudget) -> FidTable {
         FidTable { last_fid: 0, roots: RootTable::new(roots), open_files: HashMap::new(), stale: Vec::new() }
     }
 
@@ -34,13 +35,10 @@
         if self.roots.contains(&key) {
             return None;
         }
-        let (evicted, fits) = self.roots.make_room(&key);
+        let (evicted, memory) = self.roots.reserve(&key);
         self.stale.extend(evicted);
-        if !fits {
-            return None;
-        }
-        let root = Rc::new(root);
-        self.roots.insert(key, Rc::clone(&root));
+        let (root, memory) = (Rc::new(root), memory?);
+        self.roots.insert(key, Rc::clone(&root), memory);
         Some(root)
     }
 
--- a/crates/sedgerun/src/backend/ninep/mod.rs
+++ b/crates/sedgerun/src/backend/ninep/mod.rs
@@ -13,11 +13,10 @@
 
 pub use request::{FileOperation, NinePBackendRequest};
 
-use super::{AttemptStarted, BackendResponse};
+use super::{AttemptStarted, BackendResponse, MemoryBudget};
 use crate::descriptors::Descriptors;
 use connection::{Connection, ConnectionLost};
 use operation::Operation;
-use roots::RootMemory;
 use sedgerun_dispatch::AttemptResult;
 use sedgerun_policy::{AttemptEnd, BackendId};
 use std::cell::RefCell;
@@ -37,7 +36,8 @@
     connections: RefCell<HashMap<BackendId, SharedConnection>>,
     connect_timeout: Duration,
     descriptors: Descriptors,
-    root_memory: RootMemory,
+    /// The memory for attached roots at all backends.
+    root_memory: MemoryBudget,
 }
 
 impl NinePBackend {
@@ -49,7 +49,7 @@
             connections: RefCell::default(),
             connect_timeout,
             descriptors,
-            root_memory: RootMemory::new(root_bytes),
+            root_memory: MemoryBudget::new(root_bytes, root_bytes),
         }
     }
 
--- a/crates/sedgerun/src/backend/ninep/roots.rs
+++ b/crates/sedgerun/src/backend/ninep/roots.rs
@@ -1,7 +1,7 @@
 //! The attached roots of trees at a backend, which are kept for later attempts within a limit in bytes.
 
+use crate::backend::{MemoryBudget, MemoryReservation};
 use sedgerun_protocol_9p::Qid;
-use std::cell::Cell;
 use std::collections::HashMap;
 use std::rc::Rc;
 
@@ -28,35 +28,12 @@
     pub(super) qid: Qid,
 }
 
-/// The memory for the roots of all connections.
-#[derive(Clone, Debug)]
-pub(super) struct RootMemory {
-    used: Rc<Cell<usize>>,
-    max: usize,
-}
-
-impl RootMemory {
-    pub(super) fn new(max: usize) -> RootMemory {
-        RootMemory { used: Rc::default(), max }
-    }
-
-    fn fits(&self, bytes: usize) -> bool {
-        self.used.get() + bytes <= self.max
-    }
-
-    fn take(&self, bytes: usize) {
-        self.used.set(self.used.get() + bytes);
-    }
-
-    fn give_back(&self, bytes: usize) {
-        self.used.set(self.used.get() - bytes);
-    }
-}
-
 #[derive(Debug)]
 struct KeptRoot {
     root: Rc<Root>,
     last_use: u64,
+    /// Held for as long as the root is kept.
+    _memory: MemoryReservation,
 }
 
 /// The roots that one connection keeps.
@@ -64,11 +41,12 @@
 pub(super) struct RootTable {
     roots: HashMap<TreeKey, KeptRoot>,
     uses: u64,
-    memory: RootMemory,
+    /// The memory for the roots of all connections.
+    memory: MemoryBudget,
 }
 
 impl RootTable {
-    pub(super) fn new(memory: RootMemory) -> RootTable {
+    pub(super) fn new(memory: MemoryBudget) -> RootTable {
         RootTable { roots: HashMap::new(), uses: 0, memory }
     }
 
@@ -80,17 +58,19 @@
         Some(Rc::clone(&kept.root))
     }
 
-    /// Removes unused roots, the least recently used first, until a root with this key fits. Returns their
-    /// fids, and whether it fits.
-    pub(super) fn make_room(&mut self, key: &TreeKey) -> (Vec<u32>, bool) {
+    /// Reserves the memory for a root with this key. Unused roots are removed for it, the least recently used
+    /// first; returns their fids, too.
+    pub(super) fn reserve(&mut self, key: &TreeKey) -> (Vec<u32>, Option<MemoryReservation>) {
         let mut evicted = Vec::new();
-        while !self.memory.fits(key.bytes()) {
+        loop {
+            if let Some(memory) = self.memory.reserve(key.bytes()) {
+                return (evicted, Some(memory));
+            }
             let unused = self.roots.iter().filter(|(_, kept)| Rc::strong_count(&kept.root) == 1);
             let oldest = unused.min_by_key(|(_, kept)| kept.last_use).map(|(key, _)| key.clone());
-            let Some(oldest) = oldest else { return (evicted, false) };
-            evicted.extend(self.remove(&oldest));
+            let Some(oldest) = oldest else { return (evicted, None) };
+            evicted.extend(self.roots.remove(&oldest).map(|removed| removed.root.fid));
         }
-        (evicted, true)
     }
 
     /// Whether a root is kept for a key.
@@ -98,22 +78,9 @@
         self.roots.contains_key(key)
     }
 
-    /// Keeps a root for a key that has none, and for which there is room.
-    pub(super) fn insert(&mut self, key: TreeKey, root: Rc<Root>) {
+    /// Keeps a root for a key that has none.
+    pub(super) fn insert(&mut self, key: TreeKey, root: Rc<Root>, memory: MemoryReservation) {
         self.uses += 1;
-        self.memory.take(key.bytes());
-        self.roots.insert(key, KeptRoot { root, last_use: self.uses });
-    }
-
-    fn remove(&mut self, key: &TreeKey) -> Option<u32> {
-        let removed = self.roots.remove(key)?;
-        self.memory.give_back(key.bytes());
-        Some(removed.root.fid)
-    }
-}
-
-impl Drop for RootTable {
-    fn drop(&mut self) {
-        self.memory.give_back(self.roots.keys().map(TreeKey::bytes).sum());
+        self.roots.insert(key, KeptRoot { root, last_use: self.uses, _memory: memory });
     }
 }
