--- a/crates/replication/tests/follow.rs
+++ b/crates/replication/tests/follow.rs
@@ -40,6 +40,11 @@
     }
 }
 
+/// A follower `f0`, `f1`, ... whose store has this number.
+fn downstream(i: u64) -> Downstream {
+    Downstream { peer: peer(&format!("f{i}")), store: i, zone: None, version: 0, incarnation: 1 }
+}
+
 fn polling_follower(downstream: Downstream, subtree: Option<Vec<Downstream>>) -> PollingFollower {
     let summary = subtree.map(SubtreeSummary::from_followers);
     PollingFollower { downstream, role: FollowerRole::Head, bypass_relays: false, summary }
@@ -82,13 +87,6 @@
 #[test]
 fn a_full_head_redirects_to_its_followers_until_they_time_out() {
     let mut followers = Followers::default();
-    let downstream = |i: u64| Downstream {
-        peer: peer(&format!("f{i}")),
-        store: i,
-        zone: None,
-        version: 0,
-        incarnation: 1,
-    };
     for i in 0..MAX_FOLLOWERS as u64 {
         assert_eq!(followers.admit(0, polling_follower(downstream(i), None), false), Admission::Admitted);
     }
@@ -153,13 +151,6 @@
 #[test]
 fn voters_that_polled_before_they_voted_take_up_no_capacity() {
     let mut followers = Followers::default();
-    let downstream = |i: u64| Downstream {
-        peer: peer(&format!("f{i}")),
-        store: i,
-        zone: None,
-        version: 0,
-        incarnation: 1,
-    };
     let future_voters = [100, 101];
     for store in future_voters {
         assert_eq!(followers.admit(0, polling_follower(downstream(store), None), false), Admission::Admitted);
