cluster: one estimate of the view, growth reckoned once, and a true word on recovery

Cause: found when reading the change again. The view's memory was estimated twice, by two rules; an admitted change's growth was reckoned twice under the lock; the comment on replay said that all changes stay whole, which the limit of decoding contradicts; an error held a String where a type exists.

Change: app_fleet_view_bytes and app_fleet_follower_view_bytes are View::object_bytes, the figure that a refusal names, and View::heap_bytes is gone. admit reckons the growth once. A forced recovery keeps changes whole within the limit of the head's settings. CommitError::Log holds the ReadError.

--- a/crates/cluster/src/change/capacity.rs
+++ b/crates/cluster/src/change/capacity.rs
@@ -66,15 +66,16 @@
     /// # Errors
     /// The change cannot be committed now; a later attempt may succeed.
     pub(super) async fn admit(&self, change: &Change) -> Result<Admission, CommitError> {
+        let (objects, growth) = self.state_machine.state_bytes(&change.command);
         if self.raft.metrics().borrow().state == ServerState::Leader {
             self.check_uncommitted_log()?;
-            if let Some(refusal) = self.exceeds_state_limit(change)
+            if let Some(refusal) = self.exceeds_state_limit(objects, growth)
                 && !self.has_first_attempt(change).await?
             {
                 return Ok(Admission::Refused(refusal));
             }
         }
-        self.reserve(change).map(Admission::Admitted)
+        self.reserve(Reserved { changes: change.heap_bytes(), growth }).map(Admission::Admitted)
     }
 
     fn check_uncommitted_log(&self) -> Result<(), CommitError> {
@@ -82,10 +83,9 @@
         if bytes > limit { Err(CommitError::UncommittedLog { bytes, limit }) } else { Ok(()) }
     }
 
-    /// The refusal of a change that would take the state over its limit.
-    fn exceeds_state_limit(&self, change: &Change) -> Option<ChangeOutcome> {
+    /// The refusal of a change that adds `growth` bytes to the state, if that takes it over its limit.
+    fn exceeds_state_limit(&self, objects: usize, growth: usize) -> Option<ChangeOutcome> {
         let limit = self.settings.memory.state_bytes;
-        let (objects, growth) = self.state_machine.state_bytes(&change.command);
         let bytes = objects + growth + self.pending.lock().growth;
         (growth > 0 && bytes > limit).then(|| {
             ChangeOutcome::Conflict(format!(
@@ -103,7 +103,7 @@
             return Ok(true);
         }
         let uncommitted = self.log.entries_after(self.state_machine.applied_index()).await;
-        let uncommitted = uncommitted.map_err(|error| CommitError::Log(error.to_string()))?;
+        let uncommitted = uncommitted.map_err(|error| CommitError::Log(Arc::new(error)))?;
         for entry in uncommitted {
             if let EntryPayload::Normal(batch) = entry.payload
                 && batch.changes().map_err(CommitError::Encode)?.iter().any(|first| first.key == change.key)
@@ -115,17 +115,15 @@
     }
 
     /// Reserves the memory for a change. A change that is larger than the limit is admitted if no other waits.
-    fn reserve(&self, change: &Change) -> Result<Reservation, CommitError> {
+    fn reserve(&self, reserved: Reserved) -> Result<Reservation, CommitError> {
         let limit = self.settings.memory.pending_bytes;
-        let (_, growth) = self.state_machine.state_bytes(&change.command);
-        let reserved = Reserved { changes: change.heap_bytes(), growth };
         let mut all = self.pending.lock();
         let bytes = all.changes + reserved.changes;
         if bytes > limit && all.changes > 0 {
             return Err(CommitError::PendingChanges { bytes, limit });
         }
         all.changes = bytes;
-        all.growth += growth;
+        all.growth += reserved.growth;
         Ok(Reservation { pending: self.pending.clone(), reserved })
     }
 }
--- a/crates/cluster/src/change_error.rs
+++ b/crates/cluster/src/change_error.rs
@@ -1,5 +1,6 @@
 //! Errors of changes and of linearizable reads.
 
+use crate::disk::ReadError;
 use crate::types::VoterAddress;
 use openraft::error::{CheckIsLeaderError, ClientWriteError, RaftError};
 use sedgerun_replication::follow::Peer;
@@ -7,6 +8,7 @@
 use sedgerun_replication::store::StoreId;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use thiserror::Error;
 
 /// Why a change or a read was not completed, as one line of text for its requester. A change may still be
@@ -113,8 +115,8 @@
     #[error(transparent)]
     Encode(EncodeError),
     /// The log cannot be read.
-    #[error("{0}")]
-    Log(String),
+    #[error(transparent)]
+    Log(Arc<ReadError>),
     /// The changes that wait to be committed take up the memory for them.
     #[error(
         "changes of {bytes} bytes would wait to be committed, over the {limit} that limits.memory_mb allows"
--- a/crates/cluster/src/force_recovery.rs
+++ b/crates/cluster/src/force_recovery.rs
@@ -67,7 +67,7 @@
     accepted: Option<u64>,
 ) -> Result<String, ForceRecoveryError> {
     let (database, opened) = disk::open_database(&settings.dir)?;
-    let recovered = recover_state(&opened)?;
+    let recovered = recover_state(&opened, settings.memory.whole_change_bytes)?;
     let last = opened.last.or(opened.purged);
     let version = recovered.state.view.version;
     if version == 0 && last.is_none() {
@@ -89,11 +89,12 @@
 
 /// Recovers all entries of the store, also those that it does not know to be committed: they may have been
 /// acknowledged.
-fn recover_state(opened: &OpenedStore) -> Result<RecoveredState, ReplayError> {
+fn recover_state(opened: &OpenedStore, max_whole_change_bytes: usize) -> Result<RecoveredState, ReplayError> {
     let last_index = opened.last.map_or(0, |last| last.index);
     let committed_index = opened.committed.map_or(0, |at| at.index);
-    let committed_version = state_machine::replay(opened, committed_index)?.view.version;
-    let state = state_machine::replay(opened, last_index)?;
+    let committed_version =
+        state_machine::replay(opened, committed_index, max_whole_change_bytes)?.view.version;
+    let state = state_machine::replay(opened, last_index, max_whole_change_bytes)?;
     if opened.followed.version > state.view.version {
         // The head was a follower later on: the view that it received is newer, and contains only committed
         // changes.
--- a/crates/cluster/src/state_machine.rs
+++ b/crates/cluster/src/state_machine.rs
@@ -224,8 +224,8 @@
     pub fn memory(&self) -> StateMemory {
         let data = self.lock();
         StateMemory {
-            view: data.state.view.heap_bytes(),
-            follower_view: data.follower_view.heap_bytes(),
+            view: data.state.view.object_bytes(),
+            follower_view: data.follower_view.object_bytes(),
             outcome_count: data.state.outcomes().len(),
             outcomes: data.state.outcomes().heap_bytes(),
             snapshot: data.snapshot_len,
@@ -248,13 +248,18 @@
     }
 }
 
-/// The state of a store's snapshot, or an empty one, with the log entries up to an index applied. All remembered
-/// changes are kept whole.
+/// The state of a store's snapshot, or an empty one, with the log entries up to an index applied. Up to
+/// `max_whole_change_bytes` bytes of recent changes are kept whole.
 ///
 /// # Errors
 /// The snapshot or an entry cannot be read.
-pub fn replay(opened: &OpenedStore, up_to: u64) -> Result<ReplicatedState, ReplayError> {
-    Ok(MachineData::replay(opened.snapshot.as_ref(), &opened.log, up_to, usize::MAX)?.state)
+pub fn replay(
+    opened: &OpenedStore,
+    up_to: u64,
+    max_whole_change_bytes: usize,
+) -> Result<ReplicatedState, ReplayError> {
+    let snapshot = opened.snapshot.as_ref();
+    Ok(MachineData::replay(snapshot, &opened.log, up_to, max_whole_change_bytes)?.state)
 }
 
 fn decode_state(bytes: &[u8]) -> Result<ReplicatedState, CorruptSnapshot> {
--- a/crates/replication/src/heap_size.rs
+++ b/crates/replication/src/heap_size.rs
@@ -5,7 +5,7 @@
 //! bytes can be compared.
 
 use crate::state::{Change, ChangeOutcome, Command};
-use crate::view::{Object, ObjectKey, Tenant, VersionedObject, VoterRules};
+use crate::view::{Object, ObjectKey, VersionedObject, VoterRules};
 use std::collections::{BTreeMap, BTreeSet};
 use std::mem::size_of;
 
@@ -80,12 +80,6 @@
     }
 }
 
-impl HeapSize for Tenant {
-    fn heap_bytes(&self) -> usize {
-        self.exports.heap_bytes()
-    }
-}
-
 impl HeapSize for VoterRules {
     fn heap_bytes(&self) -> usize {
         self.barred_heads.heap_bytes() + self.declared_dead.heap_bytes()
--- a/crates/replication/src/view.rs
+++ b/crates/replication/src/view.rs
@@ -9,7 +9,6 @@
 //! A [`View`] belongs to one head. It does not depend on that head's settings and does not check whether the
 //! head can serve an export.
 
-use crate::heap_size::HeapSize;
 use crate::store::StoreId;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -249,15 +248,6 @@
         self.object_bytes
     }
 
-    /// Estimate of the memory that the view takes up, in bytes.
-    pub fn heap_bytes(&self) -> usize {
-        self.tenants.heap_bytes()
-            + self.bans.heap_bytes()
-            + self.rules.heap_bytes()
-            + self.by_version.heap_bytes()
-            + self.versions.heap_bytes()
-    }
-
     /// The number of tombstones kept.
     pub fn tombstones(&self) -> usize {
         self.tombstones
