HTTP: an answer goes to its connection in parts, so that no buffer of its size stays

Cause: a body was passed to the connection whole; its write buffer grew to that size and keeps its capacity while the connection is open. The budget for bodies counts an answer only until it has come in.

Change: BodyParts passes 16 KiB at a time. Nothing changes on the wire.

--- a/crates/sedgerun/src/frontend/http/mod.rs
+++ b/crates/sedgerun/src/frontend/http/mod.rs
@@ -11,12 +11,14 @@
 //! | `handler` | handles one request from its arrival to its response |
 //! | `request`, `placement` | parse and validate a request's line and headers |
 //! | `body` | reads a request's body within a memory budget and a deadline |
+//! | `body_parts` | passes a response's body to the connection in parts |
 //! | `error`, `response` | errors of a request, and the responses that the front end builds |
 //!
 //! The front end runs on one thread: state is shared by `Rc` and `Cell`, and owned by the connection's task.
 
 mod accept;
 mod body;
+mod body_parts;
 mod connection;
 mod connections;
 mod error;
--- a/crates/sedgerun/src/frontend/http/response.rs
+++ b/crates/sedgerun/src/frontend/http/response.rs
@@ -1,5 +1,6 @@
 //! Builds the responses of the HTTP front end.
 
+use super::body_parts::BodyParts;
 use actix_http::body::BoxBody;
 use actix_http::{Response, StatusCode};
 use bytes::Bytes;
@@ -14,7 +15,7 @@
 
 /// A 200 with the body of a backend's response.
 pub(super) fn served(body: Bytes) -> Response<BoxBody> {
-    Response::build(StatusCode::OK).body(body).map_into_boxed_body()
+    Response::build(StatusCode::OK).body(BodyParts(body)).map_into_boxed_body()
 }
 
 /// A 503 with `Retry-After`, unless `retry_after_seconds` is 0.
