--- a/crates/sedgerun/tests/standin/mod.rs
+++ b/crates/sedgerun/tests/standin/mod.rs
@@ -561,7 +561,7 @@
             assert!(log.read_line(&mut line).expect("a log") > 0, "the program ended: {before}");
             before.push_str(&line);
             let address = |key: &str| line.split_once(key).and_then(|(_, text)| text.trim().parse().ok());
-            http = http.or(address(" listen: "));
+            http = http.or(address(" listen: ")).or_else(|| passed_address(&line));
             ninep = ninep.or(address(" ninep.listen: "));
             admin = admin.or(address(" admin.listen: "));
             mgmt = mgmt.or(address(" mgmt: "));
@@ -658,6 +658,12 @@
     }
 }
 
+/// The address of a listener that was passed on to the program, as its log names it.
+fn passed_address(line: &str) -> Option<SocketAddr> {
+    let (_, named) = line.split_once(" listen: descriptor ")?;
+    named.split_once("Ok(")?.1.trim().trim_end_matches(')').parse().ok()
+}
+
 /// An id that no other request of this test has.
 fn fresh_id() -> String {
     format!("{:016x}", 0xa000 + u64::from(NUMBER.fetch_add(1, Ordering::SeqCst)))
