dispatch: the timeout of an attempt does not run while a transfer goes on

Evidence: a body of 60,000 bytes written over 0.6 s got a 503 after 0.2 s; the moment followed goalTime, not dialTimeout. Class of fault: a limit on waiting applied to a transfer that makes progress.

Change: the connection reports how far an attempt has got (connecting, sending, backend reading, awaiting the response, receiving it). While bytes go either way only the request's own time ends the attempt. A request whose last byte was not written never ran: it is refused, not failed.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -5,7 +5,7 @@
 //! response before its deadline and has at most one attempt in flight.
 
 use crate::effect::{Effect, FinalResponse};
-use crate::request::{AttemptInFlight, AttemptResult, OpenRequest, RequestSpec};
+use crate::request::{AttemptInFlight, AttemptResult, AttemptStage, OpenRequest, RequestSpec};
 use crate::timers::{TimerKind, TimerQueue};
 use sedgerun_policy::Controller;
 use sedgerun_policy::{
@@ -90,7 +90,7 @@
         let response_deadline = spec.deadline.min(self.shutdown_deadline);
         let decision_deadline = response_deadline.saturating_sub(RESPONSE_MARGIN);
         let timer_expiry = response_deadline.saturating_sub(RESPONSE_MARGIN / 2);
-        self.requests.insert(id, OpenRequest::new(payload, decision_deadline));
+        self.requests.insert(id, OpenRequest::new(payload, decision_deadline, timer_expiry));
         self.timers.set(timer_expiry, TimerKind::RequestDeadline(id));
         // Computed from the client's deadline alone: see `set_shutdown_deadline`.
         let controller_deadline = spec.deadline.saturating_sub(RESPONSE_MARGIN);
@@ -101,11 +101,18 @@
     /// Drops a request whose client has disconnected, without a final response. An attempt in flight
     /// continues.
     pub fn client_disconnected(&mut self, now: Micros, id: RequestId) {
-        if self.requests.remove(&id).is_some() {
+        if self.close(id) {
             self.handle_event(now, Event::RequestEnded { id });
         }
     }
 
+    /// Closes a request, with its timer; whether it was open.
+    fn close(&mut self, id: RequestId) -> bool {
+        let Some(request) = self.requests.remove(&id) else { return false };
+        self.timers.cancel(request.timer_expiry, TimerKind::RequestDeadline(id));
+        true
+    }
+
     /// Cancels a request for a client that still expects a final response. No further attempt starts. The
     /// backend may already have executed an attempt in flight, so its response is still passed on.
     pub fn cancel(&mut self, now: Micros, id: RequestId) {
@@ -114,14 +121,46 @@
         self.end_if_cancelled(now, id);
     }
 
+    /// Records how far an attempt has got. Ignored if the attempt was already abandoned.
+    ///
+    /// The attempt's timeout is the time without any response. It does not run while the request is still being
+    /// written or read, or the response is coming in: a transfer is ended by the request's own time alone.
+    pub fn attempt_advanced(&mut self, now: Micros, id: RequestId, attempt: u8, stage: AttemptStage) {
+        let Some(in_flight) = self.attempts.get_mut(&(id, attempt)) else { return };
+        let request_end = self.requests.get(&id).map(|request| request.decision_deadline);
+        in_flight.stage = stage;
+        let timeout_at = match stage {
+            AttemptStage::Connecting => return,
+            AttemptStage::Sending | AttemptStage::BackendReading | AttemptStage::ReceivingResponse => None,
+            // A request that took long to write leaves its backend half of the allowed time for the response.
+            AttemptStage::AwaitingResponse => {
+                let least = now + in_flight.allowed_time / 2;
+                Some(least.max(in_flight.sent_at + in_flight.allowed_time))
+            }
+        };
+        // Whoever waits for the response of a transfer waits until the request's end; a request that has ended has
+        // none, and the attempt goes on for as long as it was allowed.
+        let timeout_at = match (timeout_at, request_end) {
+            (Some(at), Some(end)) => Some(at.min(end)),
+            (None, Some(end)) => Some(end),
+            (at, None) => at.or(in_flight.timeout_at),
+        };
+        let before = std::mem::replace(&mut in_flight.timeout_at, timeout_at);
+        let kind = TimerKind::AttemptTimeout(id, attempt);
+        before.inspect(|at| self.timers.cancel(*at, kind));
+        timeout_at.inspect(|at| self.timers.set(*at, kind));
+    }
+
     /// Records the end of an attempt. Ignored if the attempt was already abandoned.
     pub fn attempt_ended(&mut self, now: Micros, id: RequestId, attempt: u8, result: AttemptResult<R>) {
         let Some(in_flight) = self.attempts.remove(&(id, attempt)) else { return };
+        in_flight.timeout_at.inspect(|at| self.timers.cancel(*at, TimerKind::AttemptTimeout(id, attempt)));
         let AttemptResult { end, response, volume_usage, units_elsewhere } = result;
         // A success without a response to pass on counts as an error.
         let end = if end == AttemptEnd::Ok && response.is_none() { AttemptEnd::Error } else { end };
         if let Some(request) = self.requests.get_mut(&id) {
             request.attempt_in_flight = request.attempt_in_flight.filter(|other| *other != attempt);
+            request.may_have_run |= may_have_run(end);
         }
         // Only a successful attempt ends its request here. After any other end the request stays open until
         // the controller retries, rejects or fails it, so that no request is lost.
@@ -186,17 +225,19 @@
         self.handle_event(now, Event::RequestEnded { id });
     }
 
-    /// Cancels an attempt in flight and reports its end to the controller.
+    /// Cancels an attempt in flight and reports its end to the controller. A request whose last byte was not written
+    /// never ran.
     fn abandon_attempt(&mut self, now: Micros, id: RequestId, attempt: u8, end: AttemptEnd) {
-        if self.attempts.contains_key(&(id, attempt)) {
-            self.effects.push_back(Effect::Cancel { id, attempt });
-            self.attempt_ended(now, id, attempt, AttemptResult::without_response(end));
-        }
+        let Some(in_flight) = self.attempts.get(&(id, attempt)) else { return };
+        let is_written = in_flight.stage != AttemptStage::Sending;
+        let end = if is_written { end } else { AttemptEnd::CancelledUnsent };
+        self.effects.push_back(Effect::Cancel { id, attempt });
+        self.attempt_ended(now, id, attempt, AttemptResult::without_response(end));
     }
 
     /// Closes a request and emits its final response; does nothing if it is closed already.
     fn respond(&mut self, id: RequestId, response: FinalResponse<R>) {
-        if self.requests.remove(&id).is_some() {
+        if self.close(id) {
             self.effects.push_back(Effect::Respond { id, response });
         }
     }
@@ -227,7 +268,15 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         let may_send = request.may_send();
         let attempt = request.next_attempt_number();
-        self.attempts.insert((id, attempt), AttemptInFlight { backend, sent_at: now });
+        let deadline = deadline.min(request.decision_deadline);
+        let in_flight = AttemptInFlight {
+            backend,
+            sent_at: now,
+            stage: AttemptStage::Connecting,
+            timeout_at: may_send.then_some(deadline),
+            allowed_time: deadline.saturating_sub(now),
+        };
+        self.attempts.insert((id, attempt), in_flight);
         if !may_send {
             // At most one attempt may be in flight, and none starts for a cancelled request. The controller
             // has requested this attempt, so its end is reported as cancelled before it was sent.
@@ -240,9 +289,16 @@
             return;
         }
         request.attempt_in_flight = Some(attempt);
-        let deadline = deadline.min(request.decision_deadline);
         let payload = Rc::clone(&request.payload);
         self.timers.set(deadline, TimerKind::AttemptTimeout(id, attempt));
         self.effects.push_back(Effect::Send { id, attempt, backend, deadline, payload });
     }
 }
+
+/// Whether the request may have run in an attempt that ended so.
+fn may_have_run(end: AttemptEnd) -> bool {
+    matches!(
+        end,
+        AttemptEnd::Ok | AttemptEnd::Error | AttemptEnd::Timeout | AttemptEnd::Reset | AttemptEnd::Cancelled
+    )
+}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -18,4 +18,4 @@
 pub use dispatcher::Dispatcher;
 pub use effect::{Effect, FinalResponse};
 pub use operator_command::{MAX_COMMAND_BYTES, OperatorCommand, OperatorCommandError};
-pub use request::{AttemptResult, RequestSpec};
+pub use request::{AttemptResult, AttemptStage, RequestSpec};
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -56,10 +56,27 @@
     }
 }
 
+/// How far an attempt has got, as the connection to the backend reports it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum AttemptStage {
+    /// Nothing has been passed to a connection.
+    Connecting,
+    /// The request is being written; its last byte is not. The backend does not run it before that.
+    Sending,
+    /// The request is written. It is so large that its backend may still be reading it from the system's buffers.
+    BackendReading,
+    /// The request is written, and nothing of the response has arrived.
+    AwaitingResponse,
+    /// The response has begun to arrive.
+    ReceivingResponse,
+}
+
 /// A request without a final response.
 #[derive(Debug)]
 pub(crate) struct OpenRequest<P> {
     pub payload: Rc<P>,
+    /// When the timer of its final response expires.
+    pub timer_expiry: Micros,
     /// When the controller must have decided; no attempt's timeout is later.
     pub decision_deadline: Micros,
     /// The number of attempts started so far.
@@ -68,17 +85,21 @@
     pub attempt_in_flight: Option<u8>,
     /// The client has cancelled the request and still expects a final response.
     pub is_cancelled: bool,
+    /// An attempt may have run it.
+    pub may_have_run: bool,
 }
 
 impl<P> OpenRequest<P> {
-    pub fn new(payload: P, decision_deadline: Micros) -> Self {
+    pub fn new(payload: P, decision_deadline: Micros, timer_expiry: Micros) -> Self {
         let payload = Rc::new(payload);
         OpenRequest {
             payload,
+            timer_expiry,
             decision_deadline,
             attempts_started: 0,
             attempt_in_flight: None,
             is_cancelled: false,
+            may_have_run: false,
         }
     }
 
@@ -95,9 +116,9 @@
     }
 
     /// The final response for a request that no backend has served. A rejection tells the client that a retry
-    /// is safe, so it is given only if no attempt has started.
+    /// is safe, so it is given only if no attempt can have run.
     pub fn unserved_response<R>(&self) -> FinalResponse<R> {
-        if self.attempts_started == 0 { FinalResponse::Rejected(0) } else { FinalResponse::Failed }
+        if self.may_have_run { FinalResponse::Failed } else { FinalResponse::Rejected(0) }
     }
 }
 
@@ -106,4 +127,9 @@
 pub(crate) struct AttemptInFlight {
     pub backend: BackendId,
     pub sent_at: Micros,
+    pub stage: AttemptStage,
+    /// When its timer expires; `None` while a transfer makes progress, which only the request's own time ends.
+    pub timeout_at: Option<Micros>,
+    /// How long the controller lets the attempt take.
+    pub allowed_time: Micros,
 }
--- a/crates/dispatch/src/timers.rs
+++ b/crates/dispatch/src/timers.rs
@@ -1,9 +1,8 @@
-//! The dispatcher's timers, ordered by expiry. Timers cannot be removed: one that is no longer needed expires
-//! without effect.
+//! The dispatcher's timers, ordered by expiry. One that is no longer needed is cancelled, so that their number follows
+//! that of the open requests and not that of past ones.
 
 use sedgerun_policy::{Micros, RequestId};
-use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::BTreeSet;
 
 /// The purpose of a timer. Timers with the same expiry run in the order of the variants, then of their
 /// fields.
@@ -19,16 +18,21 @@
 
 /// The timers that have not expired.
 #[derive(Debug, Default)]
-pub(crate) struct TimerQueue(BinaryHeap<Reverse<(Micros, TimerKind)>>);
+pub(crate) struct TimerQueue(BTreeSet<(Micros, TimerKind)>);
 
 impl TimerQueue {
     pub fn set(&mut self, at: Micros, kind: TimerKind) {
-        self.0.push(Reverse((at, kind)));
+        self.0.insert((at, kind));
+    }
+
+    /// Removes a timer that was set to this time.
+    pub fn cancel(&mut self, at: Micros, kind: TimerKind) {
+        self.0.remove(&(at, kind));
     }
 
     /// When the next timer expires; `None` if no timer is set.
     pub fn next_expiry(&self) -> Option<Micros> {
-        self.0.peek().map(|Reverse((at, _))| *at)
+        self.0.first().map(|(at, _)| *at)
     }
 
     /// Removes and returns the earliest timer that has expired by `now`.
@@ -36,6 +40,6 @@
         if self.next_expiry()? > now {
             return None;
         }
-        self.0.pop().map(|Reverse((_, kind))| kind)
+        self.0.pop_first().map(|(_, kind)| kind)
     }
 }
