--- a/crates/sedgerun/src/admin/cluster.rs
+++ b/crates/sedgerun/src/admin/cluster.rs
@@ -2,10 +2,11 @@
 //! committed before.
 
 use super::AdminApi;
+use super::request::ApiRequest;
 use super::resource::Resource;
 use super::response::ApiResponse;
 use super::tenants::{no_such_path, or_error, parse_json};
-use actix_http::{HttpMessage, Method, Request, StatusCode};
+use http::{Method, StatusCode};
 use sedgerun_cluster::{ClusterHandle, new_change};
 use sedgerun_replication::state::{ChangeOutcome, Command};
 use serde_json::{Value, json};
@@ -21,7 +22,7 @@
     pub(super) async fn respond_from_cluster(
         &self,
         cluster: &ClusterHandle,
-        request: &Request,
+        request: &ApiRequest,
         body: &[u8],
     ) -> ApiResponse {
         let resource = Resource::of(request);
@@ -38,7 +39,7 @@
     async fn change(
         &self,
         cluster: &ClusterHandle,
-        request: &Request,
+        request: &ApiRequest,
         resource: Resource<'_>,
         body: &[u8],
     ) -> Result<ApiResponse, ApiResponse> {
@@ -101,11 +102,11 @@
     async fn read(
         &self,
         cluster: &ClusterHandle,
-        request: &Request,
+        request: &ApiRequest,
         resource: Resource<'_>,
         body: &[u8],
     ) -> Result<ApiResponse, ApiResponse> {
-        let waited = match (header(request, "Fleet-Read"), header(request, "Fleet-At-Least")) {
+        let waited = match (request.text("Fleet-Read"), request.text("Fleet-At-Least")) {
             (Some("latest"), _) => cluster.wait_for_latest().await,
             (Some(other), _) => {
                 let what = format!("Fleet-Read is latest or left out, not {other}");
@@ -179,13 +180,9 @@
     json!({"brick": backend, "version": version})
 }
 
-fn header<'a>(request: &'a Request, name: &str) -> Option<&'a str> {
-    request.headers().get(name).map(|value| value.to_str().unwrap_or_default())
-}
-
 /// The key by which a repeated change is known as the same.
-fn idempotency_key(request: &Request) -> Result<Option<&str>, ApiResponse> {
-    let key = header(request, "Idempotency-Key");
+fn idempotency_key(request: &ApiRequest) -> Result<Option<&str>, ApiResponse> {
+    let key = request.text("Idempotency-Key");
     if key.is_some_and(|key| key.is_empty() || key.len() > MAX_IDEMPOTENCY_KEY) {
         let what = format!("Idempotency-Key is 1 to {MAX_IDEMPOTENCY_KEY} bytes");
         return Err(ApiResponse::bad_request(what));
@@ -194,8 +191,8 @@
 }
 
 /// The version at which the tenant must stand: `If-Match: "7"`, or `If-None-Match: *` for no such tenant.
-fn expected_version(request: &Request) -> Result<Option<u64>, ApiResponse> {
-    match (header(request, "If-Match"), header(request, "If-None-Match")) {
+fn expected_version(request: &ApiRequest) -> Result<Option<u64>, ApiResponse> {
+    match (request.text("If-Match"), request.text("If-None-Match")) {
         (None, None) => Ok(None),
         (None, Some("*")) => Ok(Some(0)),
         (Some(version), None) => match version.trim_matches('"').parse() {
--- a/crates/sedgerun/src/admin/resource.rs
+++ b/crates/sedgerun/src/admin/resource.rs
@@ -1,6 +1,6 @@
 //! The paths of the API, in one table.
 
-use actix_http::Request;
+use super::request::ApiRequest;
 
 /// What a request's path names.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -25,7 +25,7 @@
 
 impl<'a> Resource<'a> {
     /// What this request's path names.
-    pub(super) fn of(request: &'a Request) -> Resource<'a> {
+    pub(super) fn of(request: &'a ApiRequest) -> Resource<'a> {
         let parts: Vec<&str> = request.path().trim_matches('/').split('/').collect();
         match *parts {
             ["v1", "status"] => Resource::Status,
--- a/crates/sedgerun/src/admin/response.rs
+++ b/crates/sedgerun/src/admin/response.rs
@@ -1,6 +1,6 @@
 //! The API's responses.
 
-use actix_http::StatusCode;
+use http::StatusCode;
 use serde_json::{Value, json};
 
 /// A response: its status and its JSON body.
@@ -45,6 +45,11 @@
         ApiResponse::error(StatusCode::NOT_FOUND, what)
     }
 
+    /// The body as it is written: one line, or nothing.
+    pub(super) fn text(&self) -> String {
+        if self.body.is_null() { String::new() } else { format!("{}\n", self.body) }
+    }
+
     /// The same response, which holds at a version of the replicated state.
     pub(super) fn at_version(mut self, version: u64) -> ApiResponse {
         self.version = Some(version);
--- a/crates/sedgerun/src/admin/tenants.rs
+++ b/crates/sedgerun/src/admin/tenants.rs
@@ -1,11 +1,12 @@
 //! The API where this head alone holds the tenants: requests are answered from, and change, its registry.
 
 use super::AdminApi;
+use super::request::ApiRequest;
 use super::resource::Resource;
 use super::response::ApiResponse;
 use crate::replicated_state::read_export;
 use crate::tenants::{Export, TenantRegistry};
-use actix_http::{Method, Request, StatusCode};
+use http::{Method, StatusCode};
 use sedgerun_config::Faults;
 use sedgerun_config::platform::flatten;
 use sedgerun_replication::view::ExportFields;
@@ -29,7 +30,7 @@
 
 impl AdminApi {
     /// Responds from this head's registry.
-    pub(super) fn respond_locally(&self, request: &Request, body: &[u8]) -> ApiResponse {
+    pub(super) fn respond_locally(&self, request: &ApiRequest, body: &[u8]) -> ApiResponse {
         match (request.method(), Resource::of(request)) {
             (&Method::GET, Resource::Status) => self.status(),
             (&Method::GET, Resource::TenantList) => self.tenant_list(),
--- a/crates/sedgerun/src/backend/http/mod.rs
+++ b/crates/sedgerun/src/backend/http/mod.rs
@@ -1,31 +1,49 @@
-//! Attempts over HTTP/1.1, with awc.
+//! Attempts over HTTP/1.1.
 //!
-//! [`HttpBackend`] owns one client, with its own connection pool, for each address. An attempt is one request
-//! and one response. This module neither retries nor enforces deadlines: the caller drops the future to
-//! cancel an attempt.
+//! [`HttpBackend`] keeps the idle connections of each address. An attempt is one request and one response. This module
+//! neither retries nor enforces deadlines: the caller drops the future to cancel an attempt.
+//!
+//! | module | job |
+//! | --- | --- |
+//! | `connection` | one connection: opens it, writes requests and reads the heads of responses |
+//! | `idle_connections` | the connections to one address that wait for their next request |
+//! | `response_body` | receives a body whole, or passes it on in parts where there is no memory for it |
+//! | `outcome` | how an attempt ended |
 
-mod client;
-mod response;
+mod connection;
+mod idle_connections;
+mod outcome;
+mod response_body;
 
-pub use client::{ConnectionTimeouts, client};
-pub use response::content_length;
+pub use connection::{
+    Connection, ConnectionResources, ConnectionTimeouts, MAX_HEAD_BYTES, OpenError, RECEIVE_BUFFER_BYTES,
+    ResponseError, ResponseSummary,
+};
+pub use idle_connections::IdleConnections;
+pub use response_body::{BodyReader, HttpResponseBody, StreamedBody, WholeBody, receive_body};
 
-use super::BackendResponse;
-use super::memory_budget::{MemoryBudget, MemoryReservation};
 use super::pool::ClientPool;
+use super::{AttemptContext, BackendResponse};
 use crate::descriptors::Descriptors;
+use crate::http1::BodyFraming;
+use crate::memory_budget::{MemoryBudget, MemoryReservation};
 use crate::request_ids::RequestIdGuard;
-use actix_http::Method;
-use awc::{Client, ClientRequest};
-use bytes::Bytes;
-use response::{LoadReport, attempt_end_of_error, attempt_end_of_status, read_body, release_after_delay};
-use sedgerun_dispatch::AttemptResult;
-use sedgerun_policy::{AttemptEnd, Micros};
+use http::Method;
+use outcome::{LoadReport, attempt_end_of_open_error, attempt_end_of_response, attempt_end_of_send_error};
+use sedgerun_dispatch::{AttemptResult, AttemptStage};
+use sedgerun_policy::AttemptEnd;
 use std::cell::RefCell;
+use std::fmt::Write;
 use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
 
-/// The largest request body, in bytes, that needs no memory reservation.
-pub const MAX_UNRESERVED_BODY_BYTES: usize = 64 * 1024;
+/// A request body over so many bytes may still be in the system's buffers long after it was written.
+const LARGE_BODY_BYTES: usize = 64 * 1024;
+/// The largest body of an error response that is read so that its connection can be reused, in bytes.
+const MAX_DISCARDED_BODY_BYTES: u64 = 64 * 1024;
+/// Time in which the rest of such a body must arrive.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// A client's request, which is forwarded unchanged.
 #[derive(Debug)]
@@ -39,36 +57,38 @@
     /// Names and values of the headers that backends read.
     pub headers: Vec<(&'static str, String)>,
     /// Request body.
-    pub body: Bytes,
+    pub body: Vec<u8>,
     /// Prevents reuse of the id while the request or any of its attempts is open.
     pub request_id_guard: Option<RequestIdGuard>,
-    /// The reservation in the memory budget for a body over 64 KiB, held while the request is open.
-    pub body_reservation: Option<MemoryReservation>,
+    /// The memory reserved for the request, held while it or any of its attempts is open.
+    pub reservations: Vec<MemoryReservation>,
 }
 
-/// The HTTP client for all backends. It keeps a client with its own connection pool for each address, so that
-/// removing a backend also closes its connections.
+/// The HTTP client for all backends. It keeps the idle connections of each address apart, so that removing a backend
+/// also closes its connections.
 pub struct HttpBackend {
-    clients: RefCell<ClientPool<Client>>,
+    clients: RefCell<ClientPool<Rc<IdleConnections>>>,
     timeouts: ConnectionTimeouts,
-    budget: MemoryBudget,
-    descriptors: Descriptors,
-    /// If no more descriptors than this are available, a client for a new address replaces the least recently
-    /// used.
+    /// The memory for response bodies.
+    body_budget: MemoryBudget,
+    resources: ConnectionResources,
+    /// If no more descriptors than this are available, connections to a new address replace the least recently used.
     spare_descriptors: usize,
 }
 
 impl HttpBackend {
-    /// Creates a client; `budget` limits the memory for response bodies. Once no more than
-    /// `spare_descriptors` are available, the client for a new address replaces the least recently used one,
-    /// whose idle connections close.
+    /// Creates a client; `body_budget` limits the memory for response bodies and `head_budget` that for their heads.
+    /// Once no more than `spare_descriptors` are available, the idle connections to the least recently used address
+    /// close for those to a new one.
     pub fn new(
         timeouts: ConnectionTimeouts,
-        budget: MemoryBudget,
+        body_budget: MemoryBudget,
+        head_budget: MemoryBudget,
         descriptors: Descriptors,
         spare_descriptors: usize,
     ) -> HttpBackend {
-        HttpBackend { clients: RefCell::default(), timeouts, budget, descriptors, spare_descriptors }
+        let resources = ConnectionResources { descriptors, min_descriptors: 1, head_budget, traffic: None };
+        HttpBackend { clients: RefCell::default(), timeouts, body_budget, resources, spare_descriptors }
     }
 
     /// Closes all idle connections. Connections in use close when their attempts end.
@@ -76,83 +96,158 @@
         self.clients.borrow_mut().clear();
     }
 
-    /// Removes the client of an address: idle connections close now, connections in use when their attempts
-    /// end.
+    /// Closes the idle connections that cannot be used any more.
+    pub fn close_unusable_connections(&self) {
+        self.clients.borrow().iter().for_each(|connections| connections.close_unusable());
+    }
+
+    /// Removes the connections of an address: idle ones close now, those in use when their attempts end.
     pub fn remove_client(&self, address: SocketAddr) {
         self.clients.borrow_mut().remove(address);
     }
 
-    /// The client of an address, created on first use.
-    fn client(&self, address: SocketAddr) -> Client {
+    /// The connections of an address.
+    fn connections(&self, address: SocketAddr) -> Rc<IdleConnections> {
         let mut clients = self.clients.borrow_mut();
-        if self.descriptors.available() == 0 {
+        let available = self.resources.descriptors.available();
+        if available == 0 {
             // Closes the idle connections to other backends to free descriptors for this one.
             clients.retain_only(address);
         }
-        if let Some(client) = clients.get(address) {
-            return client;
+        if let Some(connections) = clients.get(address) {
+            return connections;
         }
-        // With more backends than descriptors, removing one client at a time keeps most connections reusable.
-        // If the descriptors ran out, all idle connections would be closed at once, again and again, and
-        // hardly any reused.
-        if self.descriptors.available() <= self.spare_descriptors {
+        // With more backends than descriptors, closing those of one address at a time keeps most connections reusable.
+        // If the descriptors ran out, all idle connections would be closed at once, again and again, and hardly any
+        // reused.
+        if available <= self.spare_descriptors {
             clients.remove_least_recent();
         }
-        let client = client(self.timeouts, &self.budget, &self.descriptors, 1, None);
-        clients.insert(address, client.clone());
-        client
+        let connections = IdleConnections::new(self.timeouts.idle);
+        clients.insert(address, Rc::clone(&connections));
+        connections
     }
 
-    /// Makes one attempt and sends `time_left` to the backend as `Request-Timeout-Ms`. Dropping the future
+    /// Makes one attempt, and tells the backend the time that is left when its request is written. Dropping the future
     /// closes the attempt's connection.
     pub async fn attempt(
         &self,
         address: SocketAddr,
-        time_left: Micros,
+        context: &AttemptContext,
         request: &HttpBackendRequest,
     ) -> AttemptResult<BackendResponse> {
-        // Holds the client until the attempt ends, even if the pool removes it in the meantime.
-        let client = self.client(address);
-        let awc_request = build_awc_request(&client, address, time_left, request);
-        // A write has a `Content-Length` even if its body is empty.
-        let sending = if request.body.is_empty() && request.method == Method::GET {
-            awc_request.send()
-        } else {
-            awc_request.send_body(request.body.clone())
-        };
-        let mut response = match sending.await {
-            Ok(response) => response,
-            Err(error) => return AttemptResult::without_response(attempt_end_of_error(&error)),
+        // Holds the connections until the attempt ends, even if their address is removed in the meantime.
+        let connections = self.connections(address);
+        let connection = match connections.take() {
+            Some(connection) => connection,
+            None => match Connection::open(address, self.timeouts.dial, &self.resources).await {
+                Ok(connection) => connection,
+                Err(error) => {
+                    tracing::debug!("request {}: no connection to {address}: {error}", request.id);
+                    return AttemptResult::without_response(attempt_end_of_open_error(&error));
+                }
+            },
         };
-        let end = attempt_end_of_status(response.status(), response.headers());
-        let report = LoadReport::read(response.headers());
-        let Some(body) = read_body(&mut response).await else {
-            return AttemptResult::without_response(AttemptEnd::Reset);
+        match self.exchange(connection, connections, context, request, address).await {
+            Ok(result) => result,
+            Err(end) => AttemptResult::without_response(end),
+        }
+    }
+
+    /// Writes a request to a connection and reads its response.
+    async fn exchange(
+        &self,
+        mut connection: Connection,
+        connections: Rc<IdleConnections>,
+        context: &AttemptContext,
+        request: &HttpBackendRequest,
+        address: SocketAddr,
+    ) -> Result<AttemptResult<BackendResponse>, AttemptEnd> {
+        let time_left = context.time_left();
+        let head = request_head(request, address, time_left / 1000);
+        context.progress.advance(AttemptStage::Sending);
+        let sent =
+            connection.send(head.as_bytes(), &request.body, Duration::from_micros(time_left.max(1))).await;
+        sent.map_err(|error| {
+            tracing::debug!("request {}: not written to {address}: {error}", request.id);
+            attempt_end_of_send_error(&error)
+        })?;
+        let is_large = request.body.len() > LARGE_BODY_BYTES;
+        let stage = if is_large { AttemptStage::BackendReading } else { AttemptStage::AwaitingResponse };
+        context.progress.advance(stage);
+        let on_first_bytes = || context.progress.advance(AttemptStage::ReceivingResponse);
+        let response = self.receive(connection, connections, on_first_bytes).await;
+        response.map_err(|error| {
+            tracing::debug!("request {}: response of {address}: {error}", request.id);
+            AttemptEnd::Reset
+        })
+    }
+
+    async fn receive(
+        &self,
+        mut connection: Connection,
+        connections: Rc<IdleConnections>,
+        on_first_bytes: impl FnMut(),
+    ) -> Result<AttemptResult<BackendResponse>, ResponseError> {
+        let summary = connection.read_head(on_first_bytes).await?;
+        let end = attempt_end_of_response(&summary);
+        let report = LoadReport::of(&summary);
+        let reader = BodyReader::new(connection, summary.framing, summary.keep_alive.then_some(connections));
+        let response = if end == AttemptEnd::Ok {
+            let body = receive_body(reader, summary.framing, &self.body_budget).await?;
+            Some(BackendResponse::Http(body))
+        } else {
+            discard_body(reader, summary.framing);
+            None
         };
-        release_after_delay(response);
-        AttemptResult {
+        Ok(AttemptResult {
             end,
-            response: (end == AttemptEnd::Ok).then_some(BackendResponse::Http(body)),
+            response,
             volume_usage: report.volume_usage,
             units_elsewhere: report.units_elsewhere,
-        }
+        })
     }
 }
 
-/// Builds the request of an attempt without its body.
-fn build_awc_request(
-    client: &Client,
-    address: SocketAddr,
-    time_left: Micros,
-    request: &HttpBackendRequest,
-) -> ClientRequest {
-    let url = format!("http://{address}{}", request.target);
-    let mut awc_request = client
-        .request(request.method.clone(), url)
-        .insert_header(("Request-Id", request.id.as_str()))
-        .insert_header(("Request-Timeout-Ms", (time_left / 1000).max(1).to_string()));
+/// Reads a body that nobody needs to its end, so that its connection can be reused; closes the connection of a large
+/// or slow one.
+fn discard_body(mut reader: BodyReader, framing: BodyFraming) {
+    if matches!(framing, BodyFraming::Length(length) if length > MAX_DISCARDED_BODY_BYTES) {
+        return;
+    }
+    actix_rt::spawn(async move {
+        let discarding = async {
+            let mut left = MAX_DISCARDED_BODY_BYTES;
+            while let Ok(has_data) = reader.wait_for_data().await {
+                if !has_data {
+                    return reader.finish();
+                }
+                let Some(rest) = left.checked_sub(reader.data().len() as u64) else { return };
+                left = rest;
+                reader.consume_data();
+            }
+        };
+        // A body that is late closes its connection.
+        let _ = tokio::time::timeout(DISCARD_TIMEOUT, discarding).await;
+    });
+}
+
+/// The head of an attempt's request.
+fn request_head(request: &HttpBackendRequest, address: SocketAddr, timeout_ms: u64) -> String {
+    let mut head = format!(
+        "{} {} HTTP/1.1\r\nHost: {address}\r\nRequest-Id: {}\r\nRequest-Timeout-Ms: {}\r\n",
+        request.method,
+        request.target,
+        request.id,
+        timeout_ms.max(1)
+    );
     for (name, value) in &request.headers {
-        awc_request = awc_request.insert_header((*name, value.as_str()));
+        let _ = write!(head, "{name}: {value}\r\n");
+    }
+    // A write has a `Content-Length` even if its body is empty.
+    if !request.body.is_empty() || request.method != Method::GET {
+        let _ = write!(head, "Content-Length: {}\r\n", request.body.len());
     }
-    awc_request
+    head.push_str("\r\n");
+    head
 }
--- a/crates/sedgerun/src/backend/mod.rs
+++ b/crates/sedgerun/src/backend/mod.rs
@@ -3,24 +3,18 @@
 //! [`Backends`] owns the clients of both protocols and the names and addresses of the backends. The
 //! dispatcher selects the backend of an attempt and decides on retries.
 
-mod attempt_started;
+mod attempt_context;
 mod backend_names;
-mod complete_response_stream;
 pub mod http;
-mod memory_budget;
 pub mod ninep;
 pub mod pool;
-mod response_reader;
 
-pub use attempt_started::AttemptStarted;
+pub use attempt_context::{AttemptContext, AttemptProgress};
 pub use backend_names::BackendNames;
-pub use complete_response_stream::FORWARDED_HEADERS;
-pub use memory_budget::{BodyTooLarge, MemoryBudget, MemoryReservation};
 
 use crate::descriptors::Descriptors;
-use bytes::Bytes;
 use sedgerun_dispatch::AttemptResult;
-use sedgerun_policy::{BackendId, Micros};
+use sedgerun_policy::BackendId;
 use sedgerun_protocol_9p::Message;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -36,10 +30,10 @@
 }
 
 /// A backend's response, in the protocol of the request.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Debug)]
 pub enum BackendResponse {
     /// The body of a 200.
-    Http(Bytes),
+    Http(http::HttpResponseBody),
     /// The 9P response message.
     Ninep(Message),
 }
@@ -87,22 +81,21 @@
         self.names.remove(backend);
     }
 
-    /// Makes an attempt whose deadline is `time_left` from now; `None` if the backend has no address for the
-    /// request's protocol.
+    /// Makes an attempt; `None` if the backend has no address for the request's protocol.
     pub async fn attempt(
         &self,
         backend: BackendId,
-        time_left: Micros,
+        context: &AttemptContext,
         request: &BackendRequest,
     ) -> Option<AttemptResult<BackendResponse>> {
         match request {
             BackendRequest::Http(request) => {
                 let address = self.addresses.borrow().get(&backend).copied()?;
-                Some(self.http.attempt(address, time_left, request).await)
+                Some(self.http.attempt(address, context, request).await)
             }
             BackendRequest::Ninep(request) => {
                 let address = self.ninep.addresses.borrow().get(&backend).copied()?;
-                Some(self.ninep.attempt(backend, address, request).await)
+                Some(self.ninep.attempt(backend, address, context, request).await)
             }
         }
     }
--- a/crates/sedgerun/src/backend/ninep/connection.rs
+++ b/crates/sedgerun/src/backend/ninep/connection.rs
@@ -5,8 +5,8 @@
 
 use super::fids::{FidGuard, FidTable};
 use super::in_flight::InFlightTags;
-use crate::backend::MemoryBudget;
 use crate::descriptors::DescriptorPermit;
+use crate::memory_budget::MemoryBudget;
 use sedgerun_protocol_9p::{IO_HEADER_SIZE, MAX_MESSAGE_SIZE, Message, NO_TAG, VERSION, frame_length};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
--- a/crates/sedgerun/src/backend/ninep/fids.rs
+++ b/crates/sedgerun/src/backend/ninep/fids.rs
@@ -1,7 +1,7 @@
 //! The fids of a connection: roots of trees, clients' open files, and stale fids to be clunked.
 
 use super::roots::{Root, RootTable, TreeKey};
-use crate::backend::MemoryBudget;
+use crate::memory_budget::MemoryBudget;
 use sedgerun_protocol_9p::NO_FID;
 use std::cell::RefCell;
 use std::collections::HashMap;
--- a/crates/sedgerun/src/backend/ninep/mod.rs
+++ b/crates/sedgerun/src/backend/ninep/mod.rs
@@ -13,11 +13,12 @@
 
 pub use request::{FileOperation, NinePBackendRequest};
 
-use super::{AttemptStarted, BackendResponse, MemoryBudget};
+use super::{AttemptContext, BackendResponse};
 use crate::descriptors::Descriptors;
+use crate::memory_budget::MemoryBudget;
 use connection::{Connection, ConnectionLost};
 use operation::Operation;
-use sedgerun_dispatch::AttemptResult;
+use sedgerun_dispatch::{AttemptResult, AttemptStage};
 use sedgerun_policy::{AttemptEnd, BackendId};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
@@ -82,13 +83,14 @@
         &self,
         backend: BackendId,
         address: SocketAddr,
+        context: &AttemptContext,
         request: &NinePBackendRequest,
     ) -> AttemptResult<BackendResponse> {
         let connection = match self.connection(backend, address).await {
             Ok(connection) => connection,
             Err(end) => return AttemptResult::without_response(end),
         };
-        AttemptStarted::mark();
+        context.progress.advance(AttemptStage::AwaitingResponse);
         let mut operation = Operation::new(&connection, request);
         match operation.run().await {
             Ok(message) => AttemptResult {
--- a/crates/sedgerun/src/backend/ninep/roots.rs
+++ b/crates/sedgerun/src/backend/ninep/roots.rs
@@ -1,6 +1,6 @@
 //! The attached roots of trees at a backend, which are kept for later attempts within a limit in bytes.
 
-use crate::backend::{MemoryBudget, MemoryReservation};
+use crate::memory_budget::{MemoryBudget, MemoryReservation};
 use sedgerun_protocol_9p::Qid;
 use std::collections::HashMap;
 use std::rc::Rc;
--- a/crates/sedgerun/src/backend/pool.rs
+++ b/crates/sedgerun/src/backend/pool.rs
@@ -69,6 +69,11 @@
         self.clients.remove(&address).map(|entry| entry.client)
     }
 
+    /// All clients, by address.
+    pub fn iter(&self) -> impl Iterator<Item = &C> {
+        self.clients.values().map(|entry| &entry.client)
+    }
+
     /// Removes all clients except the one of an address.
     pub fn retain_only(&mut self, address: SocketAddr) {
         let kept = self.remove(address);
--- a/crates/sedgerun/src/discovery/failure.rs
+++ b/crates/sedgerun/src/discovery/failure.rs
@@ -1,17 +1,17 @@
 //! How a poll of discovery fails.
 
 use super::list::{ListError, SizeUnit, TooLarge};
-use crate::backend::BodyTooLarge;
-use actix_http::error::ParseError;
-use awc::error::{PayloadError, SendRequestError};
-use std::io::ErrorKind;
+use crate::backend::http::{OpenError, ResponseError};
 
 /// How a poll failed. The texts stand in the log.
 #[derive(Debug, thiserror::Error)]
 pub(super) enum PollFailure {
     /// The connection was refused or broke: discovery, or the path to it, said so.
     #[error("call failed: {0}")]
-    Connection(#[source] SendRequestError),
+    Connection(#[source] ResponseError),
+    /// No connection was made.
+    #[error("call failed: {0}")]
+    NoConnection(#[from] OpenError),
     /// Discovery answered with this status instead of a list.
     #[error("call failed: answered {0}")]
     Status(u16),
@@ -20,10 +20,10 @@
     TimedOut,
     /// The response is not HTTP.
     #[error("malformed list: {0}")]
-    MalformedResponse(#[source] SendRequestError),
+    MalformedResponse(#[source] ResponseError),
     /// The response broke off within its body.
     #[error("malformed list: answer broke off: {0}")]
-    TruncatedBody(#[source] PayloadError),
+    TruncatedBody(#[source] ResponseError),
     /// The response's body is not an endpoint list.
     #[error("malformed list: {0}")]
     MalformedList(#[source] ListError),
@@ -36,7 +36,10 @@
     /// Whether a response came whose list cannot be used; a further poll for the same changes would bring it again.
     pub(super) fn is_unusable_list(&self) -> bool {
         match self {
-            PollFailure::Connection(_) | PollFailure::Status(_) | PollFailure::TimedOut => false,
+            PollFailure::Connection(_)
+            | PollFailure::NoConnection(_)
+            | PollFailure::Status(_)
+            | PollFailure::TimedOut => false,
             PollFailure::MalformedResponse(_)
             | PollFailure::TruncatedBody(_)
             | PollFailure::MalformedList(_)
@@ -45,23 +48,28 @@
     }
 }
 
-impl From<SendRequestError> for PollFailure {
-    /// An error of the connection, or of what came over it: a corrupt response proves that discovery answered.
-    fn from(error: SendRequestError) -> PollFailure {
-        let SendRequestError::Response(cause) = &error else {
-            return PollFailure::Connection(error);
-        };
-        let ParseError::Io(cause) = cause else {
-            return PollFailure::MalformedResponse(error);
-        };
-        if cause.kind() != ErrorKind::InvalidData {
-            return PollFailure::Connection(error);
+impl From<ResponseError> for PollFailure {
+    /// An error before the body: of the connection, or of what came over it. A corrupt response proves that discovery
+    /// answered.
+    fn from(error: ResponseError) -> PollFailure {
+        match error {
+            ResponseError::Connection(_) | ResponseError::UnexpectedEnd => PollFailure::Connection(error),
+            _ => PollFailure::MalformedResponse(error),
         }
-        match cause.get_ref().and_then(|cause| cause.downcast_ref()) {
-            Some(BodyTooLarge { bytes: size, max_bytes: most }) => {
-                PollFailure::TooLarge(TooLarge { size: *size, limit: *most, unit: SizeUnit::Bytes })
-            }
-            None => PollFailure::MalformedResponse(error),
+    }
+}
+
+impl PollFailure {
+    /// The failure of a response's body.
+    pub(super) fn of_body(error: ResponseError) -> PollFailure {
+        match error {
+            ResponseError::BodyTooLarge(too_large) => PollFailure::TooLarge(TooLarge {
+                size: too_large.bytes,
+                limit: too_large.max_bytes,
+                unit: SizeUnit::Bytes,
+            }),
+            ResponseError::MalformedBody(_) => PollFailure::MalformedResponse(error),
+            _ => PollFailure::TruncatedBody(error),
         }
     }
 }
--- a/crates/sedgerun/src/dispatch_service/attempts.rs
+++ b/crates/sedgerun/src/dispatch_service/attempts.rs
@@ -1,6 +1,6 @@
 //! The tasks of attempts in flight.
 
-use crate::backend::AttemptStarted;
+use crate::backend::AttemptProgress;
 use sedgerun_policy::{BackendId, RequestId};
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -19,8 +19,8 @@
 pub(super) struct AttemptTask {
     /// The attempt's backend.
     pub backend: BackendId,
-    /// Set once any part of the request may have been written.
-    pub started: AttemptStarted,
+    /// Tells whether any part of the request may have been written.
+    pub progress: AttemptProgress,
     /// Aborts the task.
     pub handle: AbortHandle,
 }
@@ -49,7 +49,7 @@
     /// The attempts that match `is_affected` and of which nothing has been written yet.
     pub fn unsent(&self, is_affected: impl Fn(&AttemptKey, &AttemptTask) -> bool) -> Vec<AttemptKey> {
         let tasks = self.0.borrow();
-        let unsent = tasks.iter().filter(|(key, task)| !task.started.is_started() && is_affected(key, task));
+        let unsent = tasks.iter().filter(|(key, task)| !task.progress.is_started() && is_affected(key, task));
         unsent.map(|(key, _)| *key).collect()
     }
 }
--- a/crates/sedgerun/src/dispatch_service/effects.rs
+++ b/crates/sedgerun/src/dispatch_service/effects.rs
@@ -2,7 +2,7 @@
 
 use super::DispatchService;
 use super::attempts::{AttemptKey, AttemptTask};
-use crate::backend::{AttemptStarted, BackendRequest, BackendResponse};
+use crate::backend::{AttemptContext, AttemptProgress, BackendRequest, BackendResponse};
 use sedgerun_dispatch::{AttemptResult, Effect, FinalResponse};
 use sedgerun_policy::{AttemptEnd, BackendId, Micros, RequestId};
 use std::rc::Rc;
@@ -37,16 +37,16 @@
         payload: Rc<BackendRequest>,
     ) {
         let service = Rc::clone(self);
-        let time_left = deadline.saturating_sub(self.clock.now());
-        let started = AttemptStarted::default();
-        let marker = started.clone();
+        let observer = Rc::clone(self);
+        let progress = AttemptProgress::new(move |stage| observer.attempt_advanced(key, stage));
+        let context = AttemptContext { clock: self.clock, deadline, progress: progress.clone() };
         let task = actix_rt::spawn(async move {
-            let result = marker.scope(service.backends.attempt(backend, time_left, &payload)).await;
+            let result = service.backends.attempt(backend, &context, &payload).await;
             let result =
                 result.unwrap_or_else(|| AttemptResult::without_response(AttemptEnd::CancelledUnsent));
             service.attempt_ended(key.id, key.attempt, result);
         });
-        self.attempts.insert(key, AttemptTask { backend, started, handle: task.abort_handle() });
+        self.attempts.insert(key, AttemptTask { backend, progress, handle: task.abort_handle() });
     }
 
     fn cancel_attempt(&self, key: AttemptKey) {
--- a/crates/sedgerun/src/dispatch_service/mod.rs
+++ b/crates/sedgerun/src/dispatch_service/mod.rs
@@ -23,7 +23,7 @@
 use attempts::{AttemptKey, AttemptTask, AttemptTasks};
 use futures_util::FutureExt;
 use pending_request::OpenRequest;
-use sedgerun_dispatch::{AttemptResult, BackendOverrides, Dispatcher, RequestSpec};
+use sedgerun_dispatch::{AttemptResult, AttemptStage, BackendOverrides, Dispatcher, RequestSpec};
 use sedgerun_policy::{AttemptEnd, BackendId, Endpoint, Micros, Readiness, RequestId, Settings, UpdateScope};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
@@ -127,6 +127,12 @@
         self.with_dispatcher(|dispatcher| dispatcher.attempt_ended(now, id, attempt, result));
     }
 
+    /// Reports to the dispatcher how far an attempt has got.
+    fn attempt_advanced(self: &Rc<Self>, key: AttemptKey, stage: AttemptStage) {
+        let now = self.clock.now();
+        self.with_dispatcher(|dispatcher| dispatcher.attempt_advanced(now, key.id, key.attempt, stage));
+    }
+
     /// Cancels a request for its client. The client still receives the response of an attempt in flight; no
     /// further attempt starts.
     pub fn cancel(self: &Rc<Self>, id: RequestId) {
--- a/crates/sedgerun/src/frontend/http/accept.rs
+++ b/crates/sedgerun/src/frontend/http/accept.rs
@@ -1,26 +1,16 @@
 //! Accepts HTTP clients, within the limits on connections and descriptors, and serves each in a task of its
 //! own.
 
+use super::HttpFrontend;
 use super::connection::ConnectionState;
 use super::connections::OpenConnection;
-use super::stream::ClientStream;
-use super::{HttpFrontend, REQUEST_TIMEOUT};
-use actix_http::{HttpService, KeepAlive, Request};
-use actix_service::{Service, ServiceFactory, fn_service};
-use std::convert::Infallible;
-use std::future::poll_fn;
+use super::serve::ClientConnection;
 use std::io;
 use std::net::SocketAddr;
-use std::pin::pin;
 use std::rc::Rc;
-use std::task::Poll;
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
 
-/// Time after which an idle client connection is closed. Clients reuse connections, and a close that races
-/// with a request costs the client a new connection; but some clients keep connections open without using
-/// them again.
-const KEEP_ALIVE_TIME: Duration = Duration::from_secs(30);
 /// Delay before the next accept after a failed one.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(5);
 
@@ -33,37 +23,23 @@
 }
 
 impl HttpFrontend {
-    /// Accepts connections for as long as the future is polled.
-    ///
-    /// # Errors
-    /// The HTTP service cannot be built. A failed accept is retried.
-    pub async fn serve(self: Rc<Self>, listener: TcpListener) -> io::Result<()> {
-        let frontend = Rc::clone(&self);
-        let service = fn_service(move |request: Request| {
-            let frontend = Rc::clone(&frontend);
-            async move { Ok::<_, Infallible>(frontend.respond(request).await) }
-        });
-        let factory = HttpService::<ClientStream, _, _>::build()
-            .keep_alive(KeepAlive::Timeout(KEEP_ALIVE_TIME))
-            .client_request_timeout(REQUEST_TIMEOUT)
-            // Treats a half-closed connection as closed, so that no request is served for a disconnected
-            // client.
-            .h1_allow_half_closed(false)
-            .on_connect_ext(|stream: &ClientStream, data| {
-                data.insert(stream.connection());
-            })
-            .h1(service);
-        let handler = factory.new_service(()).await.map_err(|()| io::Error::other("no HTTP service"))?;
-        let handler = Rc::new(handler);
+    /// Accepts connections for as long as the future is polled. A failed accept is retried.
+    pub async fn serve(self: Rc<Self>, listener: TcpListener) {
         loop {
-            // Accept fails where descriptors are exhausted or the client has disconnected already: both are
+            // Accept fails where descriptors or memory are exhausted, or the client has disconnected already: all are
             // temporary.
-            let Ok((stream, peer)) = listener.accept().await else {
-                tokio::time::sleep(ACCEPT_RETRY_PAUSE).await;
-                continue;
+            let stream = match listener.accept().await {
+                Ok((stream, _)) => stream,
+                Err(error) => {
+                    tracing::warn!("accepting an HTTP client failed: {error}; retrying");
+                    tokio::time::sleep(ACCEPT_RETRY_PAUSE).await;
+                    continue;
+                }
             };
             if self.has_capacity_for_client().await {
-                self.serve_connection(Rc::clone(&handler), stream, peer);
+                self.serve_connection(stream);
+            } else {
+                tracing::info!("a new client connection is closed: no other gives way to it");
             }
         }
     }
@@ -83,30 +59,22 @@
     }
 
     /// Serves a client in a task of its own, which ends with the connection.
-    fn serve_connection<S>(self: &Rc<Self>, handler: Rc<S>, stream: TcpStream, peer: SocketAddr)
-    where
-        S: Service<(ClientStream, Option<SocketAddr>)> + 'static,
-    {
+    fn serve_connection(self: &Rc<Self>, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let connection = Rc::new(ConnectionState::new(Instant::now()));
+        let state = Rc::new(ConnectionState::new(Instant::now()));
         let permit = self.dispatch.backends().descriptors().acquire();
-        let stream = ClientStream::new(stream, Rc::clone(&connection), permit);
         let number = self.connections.next_number();
         let open_connection = OpenConnection::new(Rc::clone(self), number);
-        let served = Rc::clone(&connection);
+        let connection = ClientConnection::new(Rc::clone(self), stream, Rc::clone(&state), permit);
         let task = actix_rt::spawn(async move {
             let _open_connection = open_connection;
-            // The result is ignored: where a connection ends in an error, nothing is left to send to its
-            // client.
-            let mut serving = pin!(handler.call((stream, Some(peer))));
-            // Ends the task in the same poll that detects the disconnect. actix-http would drop the request
-            // only in a later poll, and an attempt for the disconnected client could be sent in between.
-            let until_disconnected = poll_fn(|cx| match serving.as_mut().poll(cx) {
-                Poll::Pending if !served.client_disconnected() => Poll::Pending,
-                _ => Poll::Ready(()),
-            });
-            until_disconnected.await;
+            let reason = connection.serve().await;
+            if reason.cuts_response() {
+                tracing::warn!("client connection {number}: closed within a response: {reason}");
+            } else {
+                tracing::debug!("client connection {number}: {reason}");
+            }
         });
-        self.connections.insert(number, connection, task.abort_handle());
+        self.connections.insert(number, state, task.abort_handle());
     }
 }
--- a/crates/sedgerun/src/frontend/http/body.rs
+++ b/crates/sedgerun/src/frontend/http/body.rs
@@ -1,123 +1,130 @@
 //! Reads a complete request body within a memory budget and a deadline.
 
 use super::REQUEST_TIMEOUT;
+use super::close_reason::CloseReason;
+use super::connection::ConnectionState;
 use super::error::RequestError;
-use crate::backend::http::MAX_UNRESERVED_BODY_BYTES;
-use crate::backend::{MemoryBudget, MemoryReservation};
-use actix_http::{Payload, Request};
-use bytes::{Bytes, BytesMut};
-use futures_util::StreamExt;
+use crate::http1::{BodyDecoder, BodyFraming, ReceiveError, ServerConnection};
+use crate::memory_budget::{MemoryBudget, MemoryReservation};
 use std::time::{Duration, Instant};
 
+/// Bytes of a body that need no reservation: every connection may have so many.
+pub const UNRESERVED_BODY_BYTES: usize = 4 * 1024;
+/// Bytes of a body for which no more time is given than for the head.
+const BODY_BYTES_WITHOUT_EXTRA_TIME: usize = 64 * 1024;
 /// The lowest accepted rate of a body, in bytes per second: the time that a body takes at this rate is added
 /// to `REQUEST_TIMEOUT`.
 const MIN_BODY_BYTES_PER_SECOND: f64 = 64_000.0;
 /// A body of which no part has arrived for this long has stalled.
 const BODY_STALL_TIME: Duration = Duration::from_secs(2);
-/// `Retry-After` in seconds for a request whose body exceeds the memory available at present.
-const MEMORY_EXHAUSTED_RETRY_SECONDS: f64 = 1.0;
+/// `Retry-After` in seconds for a request that exceeds the memory available at present.
+pub(super) const MEMORY_EXHAUSTED_RETRY_SECONDS: f64 = 1.0;
 
-/// A complete body.
-pub(super) struct RequestBody {
-    pub(super) bytes: Bytes,
-    /// The memory reserved for a body over 64 KiB; `None` for a smaller one.
-    pub(super) reservation: Option<MemoryReservation>,
-}
-
-/// The largest body that is accepted, in bytes.
-pub(super) fn max_body_bytes(budget: &MemoryBudget) -> usize {
-    budget.max_body_bytes().max(MAX_UNRESERVED_BODY_BYTES)
+/// Why a body was not read.
+#[derive(Debug)]
+pub(super) enum BodyFailure {
+    /// The request gets this response.
+    Refused(RequestError),
+    /// The connection ends without one.
+    Closed(CloseReason),
 }
 
-/// Reads a complete request body. A body over 64 KiB reserves memory from `budget`, and is rejected if too
-/// little is available. The whole body has a deadline at `MIN_BODY_BYTES_PER_SECOND`, and each part must
-/// arrive within `BODY_STALL_TIME`.
-///
-/// # Errors
-/// The body is malformed, too large or overdue, or the memory budget is exhausted.
-pub(super) async fn read_body(
-    request: &mut Request,
-    content_length: Option<u64>,
-    request_started_at: Instant,
-    budget: &MemoryBudget,
-) -> Result<RequestBody, RequestError> {
-    let expected = content_length.map_or(0, |length| length as usize);
-    let mut buffer = BodyBuffer::new(budget, expected)?;
-    let time_limit = time_limit(expected, max_body_bytes(budget));
-    let deadline = tokio::time::Instant::from(request_started_at + time_limit);
-    let mut payload = request.take_payload();
-    while let Some(chunk) = next_chunk(&mut payload, deadline).await? {
-        buffer.append(&chunk)?;
+impl From<RequestError> for BodyFailure {
+    fn from(error: RequestError) -> BodyFailure {
+        BodyFailure::Refused(error)
     }
-    Ok(buffer.finish())
 }
 
-/// Time limit for a body of the expected length, from the first byte of its request.
-fn time_limit(expected: usize, max: usize) -> Duration {
-    let bytes = max.min(expected.max(MAX_UNRESERVED_BODY_BYTES));
-    REQUEST_TIMEOUT + Duration::from_secs_f64(bytes as f64 / MIN_BODY_BYTES_PER_SECOND)
+/// A request's body, as far as it was received.
+#[derive(Debug)]
+pub(super) struct RequestBody {
+    pub(super) bytes: Vec<u8>,
+    /// The memory reserved beyond [`UNRESERVED_BODY_BYTES`].
+    pub(super) reservation: MemoryReservation,
+    max_bytes: usize,
 }
 
-/// The next part of a body; `None` at its end.
-async fn next_chunk(
-    payload: &mut Payload,
-    deadline: tokio::time::Instant,
-) -> Result<Option<Bytes>, RequestError> {
-    let stall_deadline = tokio::time::Instant::now() + BODY_STALL_TIME;
-    match tokio::time::timeout_at(deadline.min(stall_deadline), payload.next()).await {
-        Ok(None) => Ok(None),
-        Ok(Some(Ok(chunk))) => Ok(Some(chunk)),
-        Ok(Some(Err(_))) => Err(RequestError::MalformedBody),
-        Err(_) => Err(RequestError::BodyOverdue),
+impl RequestBody {
+    /// Reads a complete body. One over [`UNRESERVED_BODY_BYTES`] reserves memory from `budget`, and is rejected if too
+    /// little is available. The whole body has a deadline at `MIN_BODY_BYTES_PER_SECOND`, and each part must
+    /// arrive within `BODY_STALL_TIME`.
+    pub(super) async fn read(
+        connection: &mut ServerConnection,
+        state: &ConnectionState,
+        framing: BodyFraming,
+        request_started_at: Instant,
+        budget: &MemoryBudget,
+    ) -> Result<RequestBody, BodyFailure> {
+        let expected = match framing {
+            BodyFraming::Length(length) => usize::try_from(length).unwrap_or(usize::MAX),
+            BodyFraming::Chunked | BodyFraming::UntilClose => 0,
+        };
+        let mut body = RequestBody::with_capacity(expected, budget)?;
+        let deadline = request_started_at + time_limit(expected, body.max_bytes);
+        let mut decoder = BodyDecoder::new(framing);
+        loop {
+            let data = connection.body_data(&mut decoder).map_err(|_| RequestError::MalformedBody)?;
+            let Some(data) = data else { return Ok(body) };
+            body.append(data)?;
+            let length = data.len();
+            connection.received.consume(length);
+            if length == 0 {
+                receive_part(connection, deadline).await?;
+                state.record_received();
+            }
+        }
     }
-}
-
-/// The received part of a body, and the memory reserved for it.
-struct BodyBuffer<'a> {
-    budget: &'a MemoryBudget,
-    bytes: BytesMut,
-    reservation: Option<MemoryReservation>,
-}
 
-impl BodyBuffer<'_> {
-    /// Creates a buffer and reserves memory for a body of the expected length.
-    fn new(budget: &MemoryBudget, expected: usize) -> Result<BodyBuffer<'_>, RequestError> {
-        let reservation =
-            if expected > MAX_UNRESERVED_BODY_BYTES { Some(reserve(budget, expected)?) } else { None };
-        let bytes = BytesMut::with_capacity(expected.min(MAX_UNRESERVED_BODY_BYTES));
-        Ok(BodyBuffer { budget, bytes, reservation })
+    fn with_capacity(expected: usize, budget: &MemoryBudget) -> Result<RequestBody, RequestError> {
+        let max_bytes = budget.max_body_bytes();
+        let mut body = RequestBody { bytes: Vec::new(), reservation: budget.empty_reservation(), max_bytes };
+        body.reserve(expected)?;
+        Ok(body)
     }
 
-    /// Appends a part. For a body without a `Content-Length`, or longer than it states, the reservation grows
-    /// with each part.
-    fn append(&mut self, chunk: &[u8]) -> Result<(), RequestError> {
-        let size = self.bytes.len() + chunk.len();
-        let reserved = self.reservation.as_ref().map_or(MAX_UNRESERVED_BODY_BYTES, MemoryReservation::bytes);
-        if size > reserved {
-            let max = max_body_bytes(self.budget);
-            if size > max {
-                return Err(RequestError::BodyTooLarge { max });
-            }
-            match &mut self.reservation {
-                Some(reservation) => {
-                    reservation.grow((size - reserved) as u64).map_err(|_| memory_exhausted())?;
-                }
-                None => self.reservation = Some(reserve(self.budget, size)?),
-            }
+    /// Makes room for a body of this length.
+    fn reserve(&mut self, length: usize) -> Result<(), RequestError> {
+        if length > self.max_bytes {
+            return Err(RequestError::BodyTooLarge { max: self.max_bytes });
         }
-        self.bytes.extend_from_slice(chunk);
+        let missing = length.saturating_sub(UNRESERVED_BODY_BYTES + self.reservation.bytes());
+        self.reservation.grow(missing as u64).map_err(|_| memory_exhausted())?;
+        self.bytes.reserve_exact(length.saturating_sub(self.bytes.len()));
         Ok(())
     }
 
-    fn finish(self) -> RequestBody {
-        RequestBody { bytes: self.bytes.freeze(), reservation: self.reservation }
+    /// Appends a part. For a body without a `Content-Length` the reservation doubles where there is memory, so that a
+    /// large body is seldom moved.
+    fn append(&mut self, data: &[u8]) -> Result<(), RequestError> {
+        let length = self.bytes.len() + data.len();
+        if length > self.bytes.capacity() {
+            let doubled = (2 * self.bytes.capacity()).clamp(length, self.max_bytes.max(length));
+            self.reserve(doubled).or_else(|_| self.reserve(length))?;
+        }
+        self.bytes.extend_from_slice(data);
+        Ok(())
     }
 }
 
-fn reserve(budget: &MemoryBudget, bytes: usize) -> Result<MemoryReservation, RequestError> {
-    budget.reserve(bytes).ok_or_else(memory_exhausted)
+/// Time limit for a body of the expected length, from the first byte of its request.
+fn time_limit(expected: usize, max: usize) -> Duration {
+    let bytes = max.min(expected.max(BODY_BYTES_WITHOUT_EXTRA_TIME));
+    REQUEST_TIMEOUT + Duration::from_secs_f64(bytes as f64 / MIN_BODY_BYTES_PER_SECOND)
+}
+
+/// Receives the next part of a body.
+async fn receive_part(connection: &mut ServerConnection, deadline: Instant) -> Result<(), BodyFailure> {
+    let stall_deadline = Instant::now() + BODY_STALL_TIME;
+    let received = tokio::time::timeout_at(deadline.min(stall_deadline).into(), connection.receive());
+    match received.await {
+        Ok(Ok(())) => Ok(()),
+        Ok(Err(ReceiveError::Disconnected)) => Err(BodyFailure::Closed(CloseReason::ClientClosed)),
+        Ok(Err(_)) => Err(RequestError::MalformedBody.into()),
+        Err(_) => Err(RequestError::BodyOverdue.into()),
+    }
 }
 
-fn memory_exhausted() -> RequestError {
+/// The refusal of a request for which there is no memory now.
+pub(super) fn memory_exhausted() -> RequestError {
     RequestError::Rejected { retry_after_seconds: MEMORY_EXHAUSTED_RETRY_SECONDS }
 }
--- a/crates/sedgerun/src/frontend/http/error.rs
+++ b/crates/sedgerun/src/frontend/http/error.rs
@@ -1,8 +1,7 @@
 //! Errors of a request that is not served, and their responses. The texts are sent to clients.
 
-use super::response::{rejected, text_line};
-use actix_http::body::BoxBody;
-use actix_http::{Response, StatusCode};
+use super::response::Response;
+use http::StatusCode;
 use std::fmt;
 use thiserror::Error;
 
@@ -56,7 +55,7 @@
     /// The body is larger than `max` bytes.
     #[error("body over {max} bytes")]
     BodyTooLarge { max: usize },
-    /// The body's framing is malformed, or the connection failed while the body was read.
+    /// The body's framing is malformed.
     #[error("malformed body")]
     MalformedBody,
     /// The body, or the next part of it, has not arrived in time.
@@ -103,10 +102,10 @@
     }
 
     /// The response for the client.
-    pub(super) fn response(&self) -> Response<BoxBody> {
+    pub(super) fn response(&self) -> Response {
         match self {
-            RequestError::Rejected { retry_after_seconds } => rejected(*retry_after_seconds),
-            error => text_line(error.status(), &error.to_string()),
+            RequestError::Rejected { retry_after_seconds } => Response::rejected(*retry_after_seconds),
+            error => Response::text_line(error.status(), &error.to_string()),
         }
     }
 }
--- a/crates/sedgerun/src/frontend/http/handler.rs
+++ b/crates/sedgerun/src/frontend/http/handler.rs
@@ -1,57 +1,185 @@
-//! Handles one request from its arrival to its response.
+//! Handles one request whose head was received: reads its body, submits it and returns its response.
 
 use super::HttpFrontend;
-use super::body::{max_body_bytes, read_body};
-use super::connection::{ConnectionState, RequestInProgress};
+use super::body::{BodyFailure, RequestBody, memory_exhausted};
+use super::close_reason::CloseReason;
+use super::connection::Phase;
 use super::error::RequestError;
 use super::request::{ParsedRequest, class_name};
-use super::response::{served, text_line};
+use super::response::Response;
+use super::serve::{Answer, ClientConnection};
 use crate::backend::{BackendRequest, BackendResponse};
+use crate::dispatch_service::PendingRequest;
+use crate::http1::{BodyFraming, RequestHead, discard, parse_request, write_all};
 use crate::metrics::OperationStatus;
-use actix_http::body::BoxBody;
-use actix_http::{ConnectionType, Method, Request, Response, StatusCode};
-use bytes::Bytes;
+use crate::request_ids::RegisterError;
+use http::{Method, StatusCode};
 use sedgerun_dispatch::FinalResponse;
-use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// `Retry-After` in seconds for a request that the dispatch service does not accept at present.
 const NOT_SUBMITTED_RETRY_SECONDS: f64 = 0.1;
+/// The response that lets a client send the body that it holds back.
+const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+/// Time in which a client must take that response.
+const CONTINUE_TIMEOUT: Duration = Duration::from_secs(1);
 
-impl HttpFrontend {
-    /// Handles a request and returns its response.
-    pub(super) async fn respond(&self, mut request: Request) -> Response<BoxBody> {
-        let connection = request.conn_data::<Rc<ConnectionState>>().map(Rc::clone);
-        // actix-http still parses requests that it had read before the closing response. They get no
-        // response: the future stays pending until the sweep closes the connection.
-        if connection.as_ref().is_some_and(|connection| connection.responses_ended_at().is_some()) {
-            std::future::pending::<()>().await;
+/// What the head of a request says, before its body is read.
+enum Received {
+    /// A request that is answered without its body.
+    Answered(Answer),
+    /// A request whose body comes next.
+    Request { parsed: ParsedRequest, class: Option<usize>, keep_alive: bool, expects_continue: bool },
+}
+
+impl ClientConnection {
+    /// Handles the request whose head is in the receive buffer.
+    pub(super) async fn handle(&mut self, started_at: Instant) -> Result<Answer, CloseReason> {
+        let received = match parse_request(self.connection.received.unread()) {
+            Ok(Some((head, length))) => Some((self.frontend.read_head(&head), length)),
+            _ => None,
+        };
+        let Some((received, length)) = received else {
+            return Ok(Answer::closing(Response::empty(StatusCode::BAD_REQUEST)));
+        };
+        self.connection.received.consume(length);
+        let (parsed, class, keep_alive, expects_continue) = match received {
+            Received::Answered(answer) => return Ok(answer),
+            Received::Request { parsed, class, keep_alive, expects_continue } => {
+                (parsed, class, keep_alive, expects_continue)
+            }
+        };
+        if expects_continue && self.connection.received.is_empty() {
+            let written = write_all(&self.connection.stream, CONTINUE, &[], CONTINUE_TIMEOUT, |_| {}).await;
+            written.map_err(|_| CloseReason::ClientClosed)?;
         }
-        // No byte has arrived since the last response, so this request was sent before that response
-        // (pipelined).
-        let is_pipelined =
-            connection.as_ref().is_some_and(|connection| !connection.received_since_response());
-        let started_at = connection.as_ref().and_then(|connection| connection.request_started_at());
-        let in_progress = RequestInProgress::begin(connection);
-        let mut response = if is_pipelined {
-            RequestError::Pipelined.response()
-        } else {
-            let started_at = started_at.unwrap_or_else(Instant::now);
-            self.handle(&mut request, started_at, in_progress.connection()).await
+        let id = parsed.numeric_id;
+        let (response, is_read) = match self.forward(parsed, started_at).await {
+            Ok(response) => (response, true),
+            Err(Unserved::Refused { error, is_read }) => {
+                tracing::debug!("request {id:016x}: {error}");
+                (error.response(), is_read)
+            }
+            Err(Unserved::Closed(reason)) => return Err(reason),
         };
-        self.count(&request, response.status());
-        // After a client error the connection is closed too, so that faulty clients do not hold connections.
-        if self.is_closing.get() || self.is_drained.get() || response.status().is_client_error() {
-            response.head_mut().set_connection_type(ConnectionType::Close);
-            in_progress.connection().inspect(|connection| connection.record_closing_response());
+        self.frontend.count(class, response.status);
+        Ok(self.frontend.answer(response, keep_alive && is_read))
+    }
+
+    /// Reads a request's body, submits it to the dispatcher and waits for the final response.
+    async fn forward(
+        &mut self,
+        mut parsed: ParsedRequest,
+        started_at: Instant,
+    ) -> Result<Response, Unserved> {
+        let frontend = std::rc::Rc::clone(&self.frontend);
+        let unread = |error| Unserved::Refused { error, is_read: false };
+        let head_memory = frontend.head_budget.reserve(parsed.reserved_bytes());
+        let head_memory = head_memory.ok_or_else(|| unread(memory_exhausted()))?;
+        self.state.enter(Phase::ReceivingBody);
+        let framing = parsed.framing;
+        let budget = &frontend.body_budget;
+        let body = RequestBody::read(&mut self.connection, &self.state, framing, started_at, budget).await;
+        let body = body.map_err(|failure| match failure {
+            BodyFailure::Refused(error) => unread(error),
+            BodyFailure::Closed(reason) => Unserved::Closed(reason),
+        })?;
+        let refused = |error| Unserved::Refused { error, is_read: true };
+        if parsed.method == Method::GET && !body.bytes.is_empty() {
+            return Err(refused(RequestError::ReadWithBody));
+        }
+        // The client's timeout starts at the last byte of its request.
+        let timeout = std::mem::take(&mut parsed.timeout);
+        let deadline = frontend.dispatch.clock().now() + timeout;
+        let answer_by = Instant::now() + Duration::from_micros(timeout);
+        let id_guard = frontend.ids.register(parsed.numeric_id, Duration::from_micros(timeout));
+        let id_guard = id_guard.map_err(|error| {
+            refused(match error {
+                RegisterError::InUse => RequestError::DuplicateRequestId,
+                RegisterError::Full => memory_exhausted(),
+            })
+        })?;
+        let (spec, backend_request) = parsed.into_backend_request(deadline, body, head_memory, id_guard);
+        let pending = frontend.dispatch.submit(spec, BackendRequest::Http(backend_request));
+        let pending = pending.ok_or_else(|| {
+            refused(RequestError::Rejected { retry_after_seconds: NOT_SUBMITTED_RETRY_SECONDS })
+        })?;
+        match self.await_response(pending).await.map_err(Unserved::Closed)? {
+            FinalResponse::Served(BackendResponse::Http(body)) => Ok(Response::served(body, answer_by)),
+            FinalResponse::Rejected(retry_after) => {
+                Err(refused(RequestError::Rejected { retry_after_seconds: retry_after as f64 / 1e6 }))
+            }
+            _ => Err(refused(RequestError::Failed)),
+        }
+    }
+
+    /// Waits for the final response while the client is connected. Whatever it sends meanwhile is discarded, so that
+    /// its disconnect is noticed at once; no attempt begins for it any more then.
+    async fn await_response(
+        &mut self,
+        pending: PendingRequest,
+    ) -> Result<FinalResponse<BackendResponse>, CloseReason> {
+        self.state.enter(Phase::AwaitingResponse);
+        // A buffer that is empty is not needed until the next request.
+        self.connection.received.release();
+        let has_discarded = &mut self.has_discarded;
+        tokio::select! {
+            biased;
+            response = pending.final_response() => Ok(response),
+            _ = discard(&self.connection.stream, |_| *has_discarded = true) => Err(CloseReason::ClientLeft),
         }
-        response
+    }
+}
+
+/// Why a request was not served.
+enum Unserved {
+    /// It gets this error; `is_read` says whether its body was read to the end.
+    Refused { error: RequestError, is_read: bool },
+    /// Its connection has ended.
+    Closed(CloseReason),
+}
+
+impl HttpFrontend {
+    /// Reads a request's head: responds to a health check and to what is malformed directly.
+    fn read_head(&self, head: &RequestHead<'_>) -> Received {
+        let Ok(framing) = head.framing() else {
+            return Received::Answered(Answer::closing(Response::empty(StatusCode::BAD_REQUEST)));
+        };
+        let path = head.target.split('?').next().unwrap_or_default();
+        if path == "/healthz" && head.method == Method::GET.as_str() {
+            let is_read = framing == BodyFraming::Length(0);
+            return Received::Answered(self.answer(self.health(), head.keep_alive() && is_read));
+        }
+        let class = self.config.class(class_name(path));
+        match ParsedRequest::read(head, framing, &self.config, self.body_budget.max_body_bytes()) {
+            Ok(parsed) => Received::Request {
+                parsed,
+                class,
+                keep_alive: head.keep_alive(),
+                expects_continue: head.expects_continue(),
+            },
+            Err(error) => {
+                let response = error.response();
+                self.count(class, response.status);
+                Received::Answered(Answer::closing(response))
+            }
+        }
+    }
+
+    /// A response on a connection that its client keeps open. After a client error the connection is closed, so that
+    /// faulty clients do not hold connections.
+    fn answer(&self, response: Response, keep_alive: bool) -> Answer {
+        let closes = !keep_alive
+            || self.is_closing.get()
+            || self.is_drained.get()
+            || response.status.is_client_error();
+        Answer { response, closes }
     }
 
     /// Counts a final response under its class, if the path names one. The status alone decides: 200 counts
     /// as served, 429 and 503 as rejected, and any other as failed.
-    fn count(&self, request: &Request, status: StatusCode) {
-        let Some(class) = self.config.class(class_name(request.path())) else { return };
+    fn count(&self, class: Option<usize>, status: StatusCode) {
+        let Some(class) = class else { return };
         let operation_status = match status.as_u16() {
             200 => OperationStatus::Fulfilled,
             429 | 503 => OperationStatus::Throttled,
@@ -60,60 +188,11 @@
         self.dispatch.metrics.count(class, operation_status);
     }
 
-    /// Responds to a health check directly and forwards any other request to a backend.
-    async fn handle(
-        &self,
-        request: &mut Request,
-        started_at: Instant,
-        connection: Option<&ConnectionState>,
-    ) -> Response<BoxBody> {
-        if request.path() == "/healthz" && request.method() == Method::GET {
-            return self.health();
-        }
-        match self.forward(request, started_at, connection).await {
-            Ok(body) => served(body),
-            Err(error) => error.response(),
-        }
-    }
-
     /// Responds to a health check: 503 if an operator has drained this head, 200 otherwise.
-    fn health(&self) -> Response<BoxBody> {
+    fn health(&self) -> Response {
         if self.is_drained.get() {
-            return text_line(StatusCode::SERVICE_UNAVAILABLE, "drained");
-        }
-        text_line(StatusCode::OK, "ok")
-    }
-
-    /// Reads a request, submits it to the dispatcher and waits for the final response. Returns the body of a
-    /// backend's 200.
-    async fn forward(
-        &self,
-        request: &mut Request,
-        started_at: Instant,
-        connection: Option<&ConnectionState>,
-    ) -> Result<Bytes, RequestError> {
-        let parsed = ParsedRequest::read(request, &self.config, max_body_bytes(&self.body_budget))?;
-        let body = read_body(request, parsed.content_length, started_at, &self.body_budget).await?;
-        if parsed.method == Method::GET && !body.bytes.is_empty() {
-            return Err(RequestError::ReadWithBody);
-        }
-        // The client's timeout starts at the last byte of its request.
-        let deadline = self.dispatch.clock().now() + parsed.timeout;
-        let id_guard = self.ids.register(parsed.numeric_id).ok_or(RequestError::DuplicateRequestId)?;
-        let (spec, backend_request) = parsed.into_backend_request(deadline, body, id_guard);
-        let pending = self
-            .dispatch
-            .submit(spec, BackendRequest::Http(backend_request))
-            .ok_or(RequestError::Rejected { retry_after_seconds: NOT_SUBMITTED_RETRY_SECONDS })?;
-        let awaiting_response = connection.map(ConnectionState::await_response);
-        let response = pending.final_response().await;
-        drop(awaiting_response);
-        match response {
-            FinalResponse::Served(BackendResponse::Http(body)) => Ok(body),
-            FinalResponse::Rejected(retry_after) => {
-                Err(RequestError::Rejected { retry_after_seconds: retry_after as f64 / 1e6 })
-            }
-            _ => Err(RequestError::Failed),
+            return Response::text_line(StatusCode::SERVICE_UNAVAILABLE, "drained");
         }
+        Response::text_line(StatusCode::OK, "ok")
     }
 }
--- a/crates/sedgerun/src/frontend/http/mod.rs
+++ b/crates/sedgerun/src/frontend/http/mod.rs
@@ -1,24 +1,23 @@
-//! The platform's HTTP/1.1 front end, on actix-http: reads a request, submits it to the dispatcher, and
-//! writes the response.
+//! The platform's HTTP/1.1 front end: reads a request, submits it to the dispatcher, and writes the response.
 //!
 //! | module | job |
 //! | --- | --- |
 //! | `accept` | accepts clients within the limits on connections and descriptors, and runs each in a task |
-//! | `connection` | the state of one connection: its last activity and the stage of its request |
-//! | `stream` | the client's socket, which records its activity in `connection` and discards surplus bytes |
+//! | `serve` | serves one connection: receives requests, and writes or passes on responses |
+//! | `connection` | the state of one connection: its phase and its last activity |
 //! | `connections` | the open connections, and evicting one of them in favour of a new client |
-//! | `idle` | decides which connections are idle, stalled or finished, and closes them |
+//! | `idle` | decides which connections are idle or stalled, and closes them |
+//! | `close_reason` | why a connection ended |
 //! | `handler` | handles one request from its arrival to its response |
 //! | `request`, `placement` | parse and validate a request's line and headers |
 //! | `body` | reads a request's body within a memory budget and a deadline |
-//! | `body_parts` | passes a response's body to the connection in parts |
 //! | `error`, `response` | errors of a request, and the responses that the front end builds |
 //!
 //! The front end runs on one thread: state is shared by `Rc` and `Cell`, and owned by the connection's task.
 
 mod accept;
 mod body;
-mod body_parts;
+mod close_reason;
 mod connection;
 mod connections;
 mod error;
@@ -27,15 +26,16 @@
 mod placement;
 mod request;
 mod response;
-mod stream;
+mod serve;
 
 pub use accept::bind;
+pub use body::UNRESERVED_BODY_BYTES;
 pub use connections::Connections;
 pub use idle::MIN_EVICTION_IDLE;
 
-use crate::backend::MemoryBudget;
 use crate::config::Config;
 use crate::dispatch_service::DispatchService;
+use crate::memory_budget::MemoryBudget;
 use crate::request_ids::RequestIds;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -58,25 +58,27 @@
     /// An operator has drained this head: `/healthz` responds with 503, and each response closes its
     /// connection.
     pub is_drained: Cell<bool>,
-    /// Memory for request bodies over 64 KiB.
+    /// Memory for request bodies, beyond what every connection may have.
     body_budget: MemoryBudget,
+    /// Memory for request heads, beyond what every connection may have.
+    head_budget: MemoryBudget,
 }
 
 impl HttpFrontend {
-    /// Creates a front end that submits its requests to `dispatch`.
-    pub fn new(dispatch: Rc<DispatchService>, config: Rc<Config>) -> Rc<HttpFrontend> {
-        let body_budget = MemoryBudget::new(
-            config.resource_limits.request_body_bytes,
-            config.resource_limits.request_body_bytes,
-        );
+    /// Creates a front end that submits its requests to `dispatch` and guards against duplicates with `ids`.
+    pub fn new(dispatch: Rc<DispatchService>, config: Rc<Config>, ids: Rc<RequestIds>) -> Rc<HttpFrontend> {
+        let limits = &config.resource_limits;
+        let body_budget = MemoryBudget::new(limits.request_body_bytes, limits.request_body_bytes);
+        let head_budget = MemoryBudget::new(limits.request_head_bytes, limits.request_head_bytes);
         Rc::new(HttpFrontend {
             dispatch,
             config,
-            ids: Rc::default(),
+            ids,
             connections: Connections::default(),
             is_closing: Cell::new(false),
             is_drained: Cell::new(false),
             body_budget,
+            head_budget,
         })
     }
 }
--- a/crates/sedgerun/src/frontend/http/request.rs
+++ b/crates/sedgerun/src/frontend/http/request.rs
@@ -8,9 +8,10 @@
 use super::placement::{Placement, parse_hexadecimal};
 use crate::backend::http::HttpBackendRequest;
 use crate::config::Config;
+use crate::http1::{BodyFraming, FieldError, Fields, REQUEST_BUFFER_BYTES, RequestHead};
+use crate::memory_budget::MemoryReservation;
 use crate::request_ids::RequestIdGuard;
-use actix_http::header::HeaderMap;
-use actix_http::{HttpMessage, Method, Request};
+use http::{Method, Uri};
 use sedgerun_dispatch::RequestSpec;
 use sedgerun_policy::Micros;
 
@@ -41,8 +42,8 @@
     /// The client's timeout, limited to that of its class, from the last byte of the request.
     pub(super) timeout: Micros,
     placement: Placement,
-    /// `Content-Length` in bytes; `None` if it is missing or malformed.
-    pub(super) content_length: Option<u64>,
+    /// How the end of the body is found.
+    pub(super) framing: BodyFraming,
 }
 
 impl ParsedRequest {
@@ -51,14 +52,16 @@
     /// # Errors
     /// The first check that the request fails.
     pub(super) fn read(
-        request: &Request,
+        request: &RequestHead<'_>,
+        framing: BodyFraming,
         config: &Config,
         max_body_bytes: usize,
     ) -> Result<ParsedRequest, RequestError> {
-        let headers = request.headers();
+        let headers = &request.fields;
         let id = header_text(headers, REQUEST_ID)?;
         let numeric_id = parse_hexadecimal(id).ok_or_else(|| malformed(REQUEST_ID, id))?;
-        let class_name = class_name(request.path());
+        let uri: Uri = request.target.parse().map_err(|_| RequestError::MalformedTarget)?;
+        let class_name = class_name(uri.path());
         let class =
             config.class(class_name).ok_or_else(|| RequestError::UnknownClass(Excerpt::of(class_name)))?;
         let plan_name = header_text(headers, QOS_POLICY)?;
@@ -69,9 +72,9 @@
         let placement_text = header_text(headers, PLACEMENT)?;
         let placement = Placement::parse(placement_text, config.settings.max_units)
             .ok_or_else(|| malformed(PLACEMENT, placement_text))?;
-        check_method(request.method(), class_name, config.class_changes_data.get(class).copied())?;
-        let target = read_target(request)?;
-        let content_length = read_content_length(headers, max_body_bytes)?;
+        let method = read_method(request.method, class_name, config.class_changes_data.get(class).copied())?;
+        let target = read_target(&uri, headers)?;
+        check_length(framing, max_body_bytes)?;
         let mut forwarded_headers = vec![
             (QOS_POLICY, plan_name.to_owned()),
             (CHUNK, chunk.to_owned()),
@@ -81,7 +84,7 @@
         Ok(ParsedRequest {
             id: id.to_owned(),
             numeric_id,
-            method: request.method().clone(),
+            method,
             target,
             headers: forwarded_headers,
             class,
@@ -90,15 +93,22 @@
             // Limited to the timeout of the class, so that no request is queued indefinitely.
             timeout: timeout.min(config.settings.classes[class].timeout),
             placement,
-            content_length,
+            framing,
         })
     }
 
+    /// The memory to reserve for the request's head: what it takes up beyond the buffer that each connection has.
+    pub(super) fn reserved_bytes(&self) -> usize {
+        let headers = self.headers.iter().map(|(_, value)| value.len()).sum::<usize>();
+        (self.target.len() + headers).saturating_sub(REQUEST_BUFFER_BYTES)
+    }
+
     /// Converts the request into its specification for the dispatcher and the request to send to a backend.
     pub(super) fn into_backend_request(
         self,
         deadline: Micros,
         body: RequestBody,
+        head_memory: MemoryReservation,
         id_guard: RequestIdGuard,
     ) -> (RequestSpec, HttpBackendRequest) {
         let spec = RequestSpec {
@@ -118,7 +128,7 @@
             headers: self.headers,
             body: body.bytes,
             request_id_guard: Some(id_guard),
-            body_reservation: body.reservation,
+            reservations: vec![body.reservation, head_memory],
         };
         (spec, backend_request)
     }
@@ -134,61 +144,54 @@
 }
 
 /// The value of a header that must occur exactly once.
-fn header_text<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<&'a str, RequestError> {
-    let mut values = headers.get_all(name);
-    let value = values.next().ok_or(RequestError::MissingHeader(name))?;
-    if values.next().is_some() {
-        return Err(RequestError::RepeatedHeader(name));
-    }
-    value.to_str().map(str::trim).map_err(|_| RequestError::NonTextHeader(name))
+fn header_text<'a>(headers: &Fields<'a>, name: &'static str) -> Result<&'a str, RequestError> {
+    headers.single(name).map_err(|error| match error {
+        FieldError::Missing => RequestError::MissingHeader(name),
+        FieldError::Repeated => RequestError::RepeatedHeader(name),
+        FieldError::NotText => RequestError::NonTextHeader(name),
+    })
 }
 
 /// Parses the client's timeout.
-fn read_timeout(headers: &HeaderMap) -> Result<Micros, RequestError> {
+fn read_timeout(headers: &Fields<'_>) -> Result<Micros, RequestError> {
     let text = header_text(headers, TIMEOUT)?;
     let timeout_ms: Option<u64> = text.parse().ok();
     let timeout_ms = timeout_ms.filter(|timeout_ms| (1..=MAX_TIMEOUT_MS).contains(timeout_ms));
     timeout_ms.map(|timeout_ms| timeout_ms * 1000).ok_or_else(|| malformed(TIMEOUT, text))
 }
 
-/// Checks that a class allows a method. `writes` states whether the class changes data; `None` if not
-/// configured, which allows both GET and PUT.
-fn check_method(method: &Method, class_name: &str, writes: Option<bool>) -> Result<(), RequestError> {
-    let is_allowed = match *method {
-        Method::GET => writes != Some(true),
-        Method::PUT => writes != Some(false),
-        _ => false,
-    };
-    if is_allowed {
-        return Ok(());
+/// The method, if a class allows it. `writes` states whether the class changes data; `None` if not configured, which
+/// allows both GET and PUT.
+fn read_method(method: &str, class_name: &str, writes: Option<bool>) -> Result<Method, RequestError> {
+    match method {
+        "GET" if writes != Some(true) => Ok(Method::GET),
+        "PUT" if writes != Some(false) => Ok(Method::PUT),
+        _ => {
+            let method = Excerpt::of(method);
+            Err(RequestError::MethodNotAllowed { method, class: class_name.to_owned() })
+        }
     }
-    let method = Excerpt::of(method.as_str());
-    Err(RequestError::MethodNotAllowed { method, class: class_name.to_owned() })
 }
 
 /// The path and query of a request. Absolute targets and protocol upgrades are rejected.
-fn read_target(request: &Request) -> Result<String, RequestError> {
-    let uri = request.uri();
+fn read_target(uri: &Uri, headers: &Fields<'_>) -> Result<String, RequestError> {
     let target = uri.path_and_query().map_or("/", |target| target.as_str());
-    if uri.authority().is_some() || !target.starts_with('/') || request.headers().contains_key("Upgrade") {
+    if uri.authority().is_some() || !target.starts_with('/') || headers.contains("Upgrade") {
         return Err(RequestError::MalformedTarget);
     }
     Ok(target.to_owned())
 }
 
-/// Parses `Content-Length` and checks it against the largest body that is accepted. A missing or malformed
-/// value is `None`.
-fn read_content_length(headers: &HeaderMap, max_body_bytes: usize) -> Result<Option<u64>, RequestError> {
-    let length: Option<u64> =
-        headers.get("Content-Length").and_then(|value| value.to_str().ok()?.trim().parse().ok());
-    if length.is_some_and(|length| length > max_body_bytes as u64) {
+/// Checks the length that a request states against the largest body that is accepted.
+fn check_length(framing: BodyFraming, max_body_bytes: usize) -> Result<(), RequestError> {
+    if matches!(framing, BodyFraming::Length(length) if length > max_body_bytes as u64) {
         return Err(RequestError::BodyTooLarge { max: max_body_bytes });
     }
-    Ok(length)
+    Ok(())
 }
 
 /// The optional headers that are present in a request.
-fn read_optional_headers(headers: &HeaderMap) -> Result<Vec<(&'static str, String)>, RequestError> {
-    let present = OPTIONAL_HEADERS.into_iter().filter(|name| headers.contains_key(*name));
+fn read_optional_headers(headers: &Fields<'_>) -> Result<Vec<(&'static str, String)>, RequestError> {
+    let present = OPTIONAL_HEADERS.into_iter().filter(|name| headers.contains(name));
     present.map(|name| Ok((name, header_text(headers, name)?.to_owned()))).collect()
 }
--- a/crates/sedgerun/src/head/mod.rs
+++ b/crates/sedgerun/src/head/mod.rs
@@ -16,7 +16,6 @@
 
 use crate::admin::AdminApi;
 use crate::backend::Backends;
-use crate::backend::MemoryBudget;
 use crate::backend::http::{ConnectionTimeouts, HttpBackend};
 use crate::backend::ninep::NinePBackend;
 use crate::clock::Clock;
@@ -27,7 +26,9 @@
 use crate::frontend::http::{HttpFrontend, MIN_EVICTION_IDLE};
 use crate::frontend::ninep::NinePFrontend;
 use crate::management::ManagementServer;
+use crate::memory_budget::MemoryBudget;
 use crate::replicated_state::apply_replicated_state;
+use crate::request_ids::RequestIds;
 use crate::tenants::TenantRegistry;
 use crate::vrrp::VrrpRunner;
 use listeners::Listeners;
@@ -73,10 +74,11 @@
     let (dial, idle) =
         (Duration::from_micros(config.connect_timeout), Duration::from_micros(config.idle_timeout));
     let timeouts = ConnectionTimeouts { dial, idle };
-    let answer_budget = MemoryBudget::new(limits.response_body_bytes, limits.max_response_body_bytes);
+    let body_budget = MemoryBudget::new(limits.response_body_bytes, limits.max_whole_response_bytes);
+    let head_budget = MemoryBudget::new(limits.response_head_bytes, limits.response_head_bytes);
     let descriptors = Descriptors::new(config.max_descriptors);
-    let http =
-        HttpBackend::new(timeouts, answer_budget, descriptors.clone(), 2 * limits.descriptors_for_backends);
+    let spare_descriptors = 2 * limits.descriptors_for_backends;
+    let http = HttpBackend::new(timeouts, body_budget, head_budget, descriptors.clone(), spare_descriptors);
     let ninep = NinePBackend::new(timeouts.dial, descriptors.clone(), limits.ninep_root_bytes);
     let backends = Backends::new(http, ninep, descriptors);
     for backend in &config.operator.ninep_backends {
@@ -99,7 +101,8 @@
         let cluster = cluster.map(Rc::new);
         let dispatch = new_dispatch_service(&config);
         let tenants = Rc::new(RefCell::new(config.operator.tenants.clone()));
-        let http_frontend = HttpFrontend::new(Rc::clone(&dispatch), Rc::clone(&config));
+        let ids = RequestIds::new(config.resource_limits.request_ids);
+        let http_frontend = HttpFrontend::new(Rc::clone(&dispatch), Rc::clone(&config), ids);
         let ninep_frontend =
             NinePFrontend::new(Rc::clone(&dispatch), Rc::clone(&config), Rc::clone(&tenants));
         let management = ManagementServer::new(
@@ -192,12 +195,7 @@
     }
 
     fn start_http(&mut self, listener: TcpListener) {
-        let serve = Rc::clone(&self.http_frontend).serve(listener);
-        let task = actix_rt::spawn(async move {
-            if let Err(error) = serve.await {
-                tracing::error!("HTTP frontend: {error}");
-            }
-        });
+        let task = actix_rt::spawn(Rc::clone(&self.http_frontend).serve(listener));
         self.accept_tasks.push(task.abort_handle());
     }
 
@@ -219,7 +217,8 @@
 
     fn start_admin(&self, listener: Option<TcpListener>) {
         let (Some(listener), Some(admin)) = (listener, &self.config.operator.admin) else { return };
-        let waiting_bytes = self.config.resource_limits.waiting_change_bytes;
+        let limits = &self.config.resource_limits;
+        let waiting_bytes = limits.waiting_change_bytes;
         let api = Rc::new(AdminApi {
             admin: admin.clone(),
             config: Rc::clone(&self.config),
@@ -229,12 +228,10 @@
             vrrp: self.vrrp.clone(),
             cluster: self.cluster.clone(),
             waiting_changes: MemoryBudget::new(waiting_bytes, waiting_bytes),
+            request_memory: MemoryBudget::new(limits.admin_request_bytes, limits.admin_request_bytes),
+            response_memory: MemoryBudget::new(limits.admin_response_bytes, limits.admin_response_bytes),
         });
-        actix_rt::spawn(async move {
-            if let Err(error) = api.serve(listener).await {
-                tracing::error!("admin: {error}");
-            }
-        });
+        actix_rt::spawn(api.serve(listener));
     }
 
     /// Serves until SIGTERM.
@@ -251,6 +248,7 @@
     fn enforce_resource_limits(&self) {
         let limits = &self.config.resource_limits;
         let connections = &self.http_frontend.connections;
+        self.dispatch.backends().http.close_unusable_connections();
         connections.sweep(limits.idle_client_threshold);
         if self.http_frontend.is_drained.get() {
             // Drained: clients are sent away, and none is kept idle.
--- a/crates/sedgerun/src/lib.rs
+++ b/crates/sedgerun/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`management`] and [`admin`] are operators' ways in; [`metrics`] and [`logging`] are what they read.
 //! - [`config`], [`operator`] and [`tenants`] read the settings; [`resource_limits`] derives the bounds of each part
 //!   from the limits on memory and descriptors, and [`descriptors`] counts the latter.
+//! - [`http1`] is HTTP on the wire, for whoever speaks it; [`memory_budget`] shares out the memory.
 //! - [`vrrp`] runs a virtual router, [`request_ids`] guards against duplicates, [`clock`] is the program's one clock.
 //! - [`head`] runs them all from start to exit, and [`command`] is the command line.
 //!
@@ -25,8 +26,10 @@
 pub mod dispatch_service;
 pub mod frontend;
 pub mod head;
+pub mod http1;
 pub mod logging;
 pub mod management;
+pub mod memory_budget;
 pub mod metrics;
 pub mod operator;
 pub mod replicated_state;
--- a/crates/sedgerun/src/memory_budget.rs
+++ b/crates/sedgerun/src/memory_budget.rs
@@ -1,17 +1,14 @@
-//! Limits the memory that request and response bodies may use.
+//! Shares of the memory that the program may use.
 //!
-//! All readers of one kind of body share a [`MemoryBudget`]. Each body holds a [`MemoryReservation`], which
-//! releases its bytes when it is dropped. Reservations never wait: a body that does not fit is rejected at
-//! once.
+//! All that hold one kind of data, such as the bodies of requests, share a [`MemoryBudget`]. Each holder has a
+//! [`MemoryReservation`], which releases its bytes when it is dropped. Reservations never wait: what does not fit is
+//! refused at once. `docs/design/memory.md` lists the budgets with their sums.
 
 use std::cell::Cell;
-use std::io;
 use std::rc::Rc;
 use thiserror::Error;
 
-/// A limit on the total size of bodies and on the size of each one, in bytes. One budget covers responses (a
-/// response in a class that the settings describe as small can still be large: backends send 400 KB on some
-/// days), another one requests over 64 KiB.
+/// A limit on the total size of what is held, and on the size of each part of it, in bytes.
 #[derive(Clone, Debug)]
 pub struct MemoryBudget {
     available_bytes: Rc<Cell<usize>>,
@@ -37,7 +34,7 @@
     }
 
     /// A reservation of 0 bytes, for a body whose length is not known yet.
-    pub(super) fn empty_reservation(&self) -> MemoryReservation {
+    pub fn empty_reservation(&self) -> MemoryReservation {
         MemoryReservation { budget: self.clone(), bytes: 0 }
     }
 }
@@ -58,45 +55,50 @@
     /// Reserves `bytes` more bytes.
     ///
     /// # Errors
-    ///
-    /// An [`io::Error`] of the kind `InvalidData`. Its inner error is [`BodyTooLarge`] if the body would
-    /// exceed the limit of one body, and another error if the bytes are not available now. The reservation is
-    /// unchanged.
-    pub fn grow(&mut self, bytes: u64) -> io::Result<()> {
+    /// The holder would exceed the limit of one, or the bytes are not available now. The reservation is unchanged.
+    pub fn grow(&mut self, bytes: u64) -> Result<(), BudgetError> {
         let bytes = usize::try_from(bytes).unwrap_or(usize::MAX);
         let max_bytes = self.budget.max_body_bytes;
         if bytes > max_bytes - self.bytes {
             let size = (self.bytes as u64).saturating_add(bytes as u64);
-            return Err(io::Error::new(io::ErrorKind::InvalidData, BodyTooLarge { bytes: size, max_bytes }));
+            return Err(BudgetError::TooLarge(BodyTooLarge { bytes: size, max_bytes }));
         }
         let available = self.budget.available_bytes.get().checked_sub(bytes);
-        let available =
-            available.ok_or_else(|| io::Error::new(io::ErrorKind::InvalidData, BudgetExhausted))?;
-        self.budget.available_bytes.set(available);
+        self.budget.available_bytes.set(available.ok_or(BudgetError::Exhausted)?);
         self.bytes += bytes;
         Ok(())
     }
+
+    /// Returns all bytes to the budget.
+    pub fn release(&mut self) {
+        let available = &self.budget.available_bytes;
+        available.set(available.get() + std::mem::take(&mut self.bytes));
+    }
 }
 
 impl Drop for MemoryReservation {
     fn drop(&mut self) {
-        let available = &self.budget.available_bytes;
-        available.set(available.get() + self.bytes);
+        self.release();
     }
 }
 
-/// A body exceeds the limit of one body. Returned as the inner error of an [`io::Error`] of the kind
-/// `InvalidData`.
+/// Why no memory was reserved.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
-#[error("body of at least {bytes} bytes exceeds the limit of {max_bytes} bytes")]
+pub enum BudgetError {
+    /// The holder would exceed the limit of one.
+    #[error(transparent)]
+    TooLarge(BodyTooLarge),
+    /// The bytes are not available now.
+    #[error("the memory budget is exhausted")]
+    Exhausted,
+}
+
+/// What one holder would hold exceeds the limit of one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("{bytes} bytes or more exceed the limit of {max_bytes} bytes")]
 pub struct BodyTooLarge {
-    /// The size of the body in bytes, as far as it was announced or received.
+    /// The size in bytes, as far as it was announced or received.
     pub bytes: u64,
-    /// The largest size of one body, in bytes.
+    /// The largest size, in bytes.
     pub max_bytes: usize,
 }
-
-/// The budget has too few bytes available for a body.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
-#[error("memory budget for bodies is exhausted")]
-struct BudgetExhausted;
--- a/crates/sedgerun/src/request_ids/mod.rs
+++ b/crates/sedgerun/src/request_ids/mod.rs
@@ -6,33 +6,59 @@
 use std::collections::{HashSet, VecDeque};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use thiserror::Error;
 
 /// How long ids are remembered after their requests have ended.
 const RETENTION: Duration = Duration::from_secs(5);
-/// How many ids are remembered after their requests have ended, at the most.
-const MAX_RECENT: usize = 16_384;
+
+/// Why an id was not registered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum RegisterError {
+    /// Its request is open, or was a moment ago.
+    #[error("the id is in use")]
+    InUse,
+    /// As many ids are remembered as there is memory for. None is forgotten early: its request might run twice.
+    #[error("too many ids are remembered")]
+    Full,
+}
 
 /// The ids that may not come again.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct RequestIds {
     /// The ids of open and of recent requests.
     known: RefCell<HashSet<u64>>,
     /// The ids of requests that have ended, and when, in that order.
     recent: RefCell<VecDeque<(Instant, u64)>>,
+    max_known: usize,
 }
 
 impl RequestIds {
-    /// Registers an id; `None` where its request is open or was a moment ago.
-    pub fn register(self: &Rc<Self>, id: u64) -> Option<RequestIdGuard> {
+    /// No ids, of which at most `max_known` are remembered.
+    pub fn new(max_known: usize) -> Rc<RequestIds> {
+        Rc::new(RequestIds { known: RefCell::default(), recent: RefCell::default(), max_known })
+    }
+
+    /// Registers the id of a request that is open for at most `timeout`.
+    ///
+    /// # Errors
+    /// The id is in use, here or at the other process of an upgrade, or too many are.
+    pub fn register(self: &Rc<Self>, id: u64, _timeout: Duration) -> Result<RequestIdGuard, RegisterError> {
         self.forget_old();
-        let is_new = self.known.borrow_mut().insert(id);
-        is_new.then(|| RequestIdGuard { ids: Rc::clone(self), id })
+        let mut known = self.known.borrow_mut();
+        if known.contains(&id) {
+            return Err(RegisterError::InUse);
+        }
+        if known.len() >= self.max_known {
+            return Err(RegisterError::Full);
+        }
+        known.insert(id);
+        Ok(RequestIdGuard { ids: Rc::clone(self), id })
     }
 
     fn forget_old(&self) {
         let mut recent = self.recent.borrow_mut();
         while let Some((ended_at, id)) = recent.front().copied() {
-            if recent.len() <= MAX_RECENT && ended_at.elapsed() <= RETENTION {
+            if ended_at.elapsed() <= RETENTION {
                 return;
             }
             recent.pop_front();
--- a/crates/sedgerun/src/resource_limits.rs
+++ b/crates/sedgerun/src/resource_limits.rs
@@ -1,5 +1,7 @@
 //! What the limits on memory and descriptors leave for each part of a head.
 
+use crate::backend::http::{MAX_HEAD_BYTES, RECEIVE_BUFFER_BYTES};
+
 /// The least bytes of an endpoint list that every head has memory for.
 const MIN_LIST_BYTES: usize = 1 << 20;
 /// Bytes of a list's text for each MiB of memory: a sixteenth. While it is read, the text is in memory twice.
@@ -7,6 +9,15 @@
 /// Bytes of text to an entry, below which the bound on entries is met before the one on bytes.
 const LIST_BYTES_PER_ENTRY: usize = 256;
 
+/// HTTP clients for each MiB of memory.
+const CLIENTS_PER_MIB: usize = 20;
+/// Open requests for each MiB of memory.
+const OPEN_REQUESTS_PER_MIB: usize = 4;
+/// Request ids that are remembered for each MiB of memory.
+const REQUEST_IDS_PER_MIB: usize = 1024;
+/// Bytes that requests to the administration API may take up: some of the largest size.
+const ADMIN_REQUEST_BYTES: usize = 512 * 1024;
+
 /// The largest list that a head can hold.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ListBounds {
@@ -28,12 +39,22 @@
     pub descriptors_for_backends: usize,
     /// Requests that memory suffices for, each with a full body on either side.
     pub max_open_requests: usize,
-    /// Bytes that bodies of responses may take up on their way, all together.
+    /// Bytes that bodies of responses may take up on their way, all together, beyond what every request may have.
     pub response_body_bytes: usize,
-    /// The largest body of a response, in bytes.
-    pub max_response_body_bytes: usize,
-    /// Bytes that bodies of requests over 64 KiB may take up, all together: an eighth of memory.
+    /// The largest body of a response that is received whole, in bytes; a larger one is passed on in parts.
+    pub max_whole_response_bytes: usize,
+    /// Bytes that heads of responses may take up, all together, beyond what every connection may have.
+    pub response_head_bytes: usize,
+    /// Bytes that bodies of requests may take up, all together, beyond what every connection may have.
     pub request_body_bytes: usize,
+    /// Bytes that heads of requests may take up, all together, beyond what every connection may have.
+    pub request_head_bytes: usize,
+    /// Ids of requests that are remembered.
+    pub request_ids: usize,
+    /// Bytes that requests to the administration API may take up while they are received, all together.
+    pub admin_request_bytes: usize,
+    /// Bytes that lists of the administration API may take up while they are written, all together.
+    pub admin_response_bytes: usize,
     /// Bytes that changes waiting at the administration API of a fleet's head may take up, all together.
     pub waiting_change_bytes: usize,
     /// Bytes that the tenants of a head outside a fleet may take up.
@@ -56,18 +77,23 @@
     /// The bounds of a head that may have so many descriptors open and use so many MiB.
     pub fn new(sockets: usize, memory_mb: usize) -> ResourceLimits {
         let clients = (sockets / 6).max(4);
-        // A client that sends as fast as it can costs up to 128 KiB before it is cut off.
-        let most_clients = (sockets * 5 / 8).min(5 * memory_mb).max(sockets / 3);
+        let most_clients = (sockets * 5 / 8).min(CLIENTS_PER_MIB * memory_mb);
+        let max_open_requests = OPEN_REQUESTS_PER_MIB * memory_mb;
         let list_bytes = (memory_mb * LIST_BYTES_PER_MIB).max(MIN_LIST_BYTES);
         let ninep_clients = (sockets / 6).min(memory_mb).max(1);
         ResourceLimits {
             idle_client_threshold: clients,
             max_clients: most_clients,
             descriptors_for_backends: (sockets / 16).max(2),
-            max_open_requests: (4 * memory_mb).max(most_clients),
-            response_body_bytes: memory_mb << 18,
-            max_response_body_bytes: (memory_mb << 15).clamp(1 << 20, 4 << 20),
+            max_open_requests,
+            response_body_bytes: memory_mb << 16,
+            max_whole_response_bytes: memory_mb << 14,
+            response_head_bytes: max_open_requests * (MAX_HEAD_BYTES - RECEIVE_BUFFER_BYTES),
             request_body_bytes: memory_mb << 17,
+            request_head_bytes: memory_mb << 15,
+            request_ids: memory_mb * REQUEST_IDS_PER_MIB,
+            admin_request_bytes: ADMIN_REQUEST_BYTES,
+            admin_response_bytes: memory_mb << 16,
             waiting_change_bytes: memory_mb << 17,
             tenant_bytes: memory_mb << 17,
             list: ListBounds { bytes: list_bytes, entries: list_bytes / LIST_BYTES_PER_ENTRY },
--- a/crates/sedgerun/tests/backend_responses.rs
+++ b/crates/sedgerun/tests/backend_responses.rs
@@ -76,6 +76,12 @@
         } else if line == "close" {
             let _ = writer.write_all(&bytes);
             return false;
+        } else if line == "reset" {
+            let _ = writer.write_all(&bytes);
+            // Both sides have the bytes before the reset, which would discard them otherwise.
+            thread::sleep(Duration::from_millis(20));
+            let _ = socket2::SockRef::from(&*writer).set_linger(Some(Duration::ZERO));
+            return false;
         } else if line == "linger" {
             let _ = writer.write_all(&bytes);
             thread::sleep(Duration::from_millis(1));
@@ -151,5 +157,5 @@
         assert_eq!(backend.connections() - before, dropped, "{exchange}");
         played += 1;
     }
-    assert!(played >= 14, "only {played} exchanges");
+    assert!(played >= 20, "only {played} exchanges");
 }
--- a/crates/sedgerun/tests/memory_budget.rs
+++ b/crates/sedgerun/tests/memory_budget.rs
@@ -1,6 +1,6 @@
 //! The memory budget of bodies.
 
-use sedgerun::backend::MemoryBudget;
+use sedgerun::memory_budget::MemoryBudget;
 
 #[test]
 fn a_reservation_returns_to_the_budget_when_it_is_dropped() {
--- a/crates/sedgerun/tests/peers/mod.rs
+++ b/crates/sedgerun/tests/peers/mod.rs
@@ -92,28 +92,34 @@
     }
 }
 
-/// Reads one request, its body at so many bytes a second.
+/// Reads one request, at so many bytes a second.
 fn read_paced(mut stream: &TcpStream, bytes_per_second: usize) -> Option<()> {
     if bytes_per_second == 0 {
         return read_http(&mut BufReader::new(stream.try_clone().ok()?)).map(drop);
     }
-    let mut received = Vec::new();
-    let interval = Duration::from_millis(20);
-    let mut part = vec![0; bytes_per_second / 50];
-    loop {
+    let (mut head, mut body_left) = (Vec::new(), None);
+    let mut part = [0; 16 * 1024];
+    while body_left != Some(0) {
         let count = stream.read(&mut part).ok().filter(|count| *count > 0)?;
-        received.extend_from_slice(&part[..count]);
-        let text = String::from_utf8_lossy(&received);
-        if let Some(end) = text.find("\r\n\r\n") {
-            let head = text[..end].to_lowercase();
-            let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
-            let length: usize = length.and_then(|length| length.trim().parse().ok()).unwrap_or(0);
-            if received.len() >= end + 4 + length {
-                return Some(());
+        thread::sleep(Duration::from_secs_f64(count as f64 / bytes_per_second as f64));
+        body_left = match body_left {
+            Some(left) => Some(left - count.min(left)),
+            None => {
+                head.extend_from_slice(&part[..count]);
+                length_of_rest(&head)
             }
-        }
-        thread::sleep(interval);
+        };
     }
+    Some(())
+}
+
+/// How many bytes of a request's body are still to come, once its head is complete.
+fn length_of_rest(received: &[u8]) -> Option<usize> {
+    let end = received.windows(4).position(|window| window == b"\r\n\r\n")? + 4;
+    let head = String::from_utf8_lossy(&received[..end]).to_lowercase();
+    let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
+    let length: usize = length.and_then(|length| length.trim().parse().ok()).unwrap_or(0);
+    Some((end + length).saturating_sub(received.len()))
 }
 
 /// The byte at a position of each paced body.
