Upgrade: both processes see the request ids of the other

Cause: each process guarded the ids that came to it. Both accept on one socket, so that a client that leaves one may reach the other. Class of fault: a guard kept per process, and per number, where the promise is made for the head and for a time.

Change: a process whose listener was passed on claims each id in a table of 512 KiB in $TMPDIR, which both read and write, with a time by the monotonic clock.

--- a/crates/sedgerun/src/head/mod.rs
+++ b/crates/sedgerun/src/head/mod.rs
@@ -28,7 +28,7 @@
 use crate::management::ManagementServer;
 use crate::memory_budget::MemoryBudget;
 use crate::replicated_state::apply_replicated_state;
-use crate::request_ids::RequestIds;
+use crate::request_ids::{RequestIds, SharedRequestIds};
 use crate::tenants::TenantRegistry;
 use crate::vrrp::VrrpRunner;
 use listeners::Listeners;
@@ -37,6 +37,7 @@
 use signals::Reload;
 use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, UdpSocket};
@@ -93,6 +94,17 @@
     )
 }
 
+/// The request ids that this process shares with the other one of an upgrade. Only a process whose listener was passed
+/// on to it may have another beside it.
+fn shared_request_ids() -> Option<SharedRequestIds> {
+    std::env::var_os("LB_ACCEPT_FD").filter(|descriptor| !descriptor.is_empty())?;
+    let folder = PathBuf::from(std::env::var_os("TMPDIR")?);
+    let opened = SharedRequestIds::open(&folder);
+    opened
+        .inspect_err(|error| tracing::warn!("request ids are not shared in {}: {error}", folder.display()))
+        .ok()
+}
+
 impl Head {
     /// A head that has not begun to serve.
     pub fn new(mut config: Config, sources: Sources, cluster: Option<ClusterHandle>) -> Head {
@@ -101,7 +113,7 @@
         let cluster = cluster.map(Rc::new);
         let dispatch = new_dispatch_service(&config);
         let tenants = Rc::new(RefCell::new(config.operator.tenants.clone()));
-        let ids = RequestIds::new(config.resource_limits.request_ids);
+        let ids = RequestIds::new(config.resource_limits.request_ids, shared_request_ids());
         let http_frontend = HttpFrontend::new(Rc::clone(&dispatch), Rc::clone(&config), ids);
         let ninep_frontend =
             NinePFrontend::new(Rc::clone(&dispatch), Rc::clone(&config), Rc::clone(&tenants));
--- a/crates/sedgerun/src/request_ids/mod.rs
+++ b/crates/sedgerun/src/request_ids/mod.rs
@@ -1,6 +1,11 @@
 //! Guards against duplicate requests: the ids of requests that are open, and of those that were a moment ago.
 //!
-//! A request whose id comes again is not forwarded: at a backend it would be a second copy of the first one.
+//! A request whose id comes again is not forwarded: at a backend it would be a second copy of the first one. `shared`
+//! does the same between the two processes of an upgrade.
+
+mod shared;
+
+pub use shared::SharedRequestIds;
 
 use std::cell::RefCell;
 use std::collections::{HashSet, VecDeque};
@@ -30,19 +35,21 @@
     /// The ids of requests that have ended, and when, in that order.
     recent: RefCell<VecDeque<(Instant, u64)>>,
     max_known: usize,
+    /// The ids that the other process of an upgrade sees too, where there may be one.
+    shared: Option<SharedRequestIds>,
 }
 
 impl RequestIds {
-    /// No ids, of which at most `max_known` are remembered.
-    pub fn new(max_known: usize) -> Rc<RequestIds> {
-        Rc::new(RequestIds { known: RefCell::default(), recent: RefCell::default(), max_known })
+    /// No ids, of which at most `max_known` are remembered; `shared` is what another process of this head sees.
+    pub fn new(max_known: usize, shared: Option<SharedRequestIds>) -> Rc<RequestIds> {
+        Rc::new(RequestIds { known: RefCell::default(), recent: RefCell::default(), max_known, shared })
     }
 
     /// Registers the id of a request that is open for at most `timeout`.
     ///
     /// # Errors
     /// The id is in use, here or at the other process of an upgrade, or too many are.
-    pub fn register(self: &Rc<Self>, id: u64, _timeout: Duration) -> Result<RequestIdGuard, RegisterError> {
+    pub fn register(self: &Rc<Self>, id: u64, timeout: Duration) -> Result<RequestIdGuard, RegisterError> {
         self.forget_old();
         let mut known = self.known.borrow_mut();
         if known.contains(&id) {
@@ -51,6 +58,9 @@
         if known.len() >= self.max_known {
             return Err(RegisterError::Full);
         }
+        if self.shared.as_ref().is_some_and(|shared| !shared.claim(id, timeout + RETENTION)) {
+            return Err(RegisterError::InUse);
+        }
         known.insert(id);
         Ok(RequestIdGuard { ids: Rc::clone(self), id })
     }
