Policy and request ids: state for ever new names is bounded by number

Class of fault: state that is dropped by time alone, whose rate a client sets.

Change: at most 8,192 volumes beside those with open requests, and 32,768 demands, are known; the half that had no request for the longest goes. A volume that is dropped gets less at its next request, never more. Ids of ended requests are collected by the second, some 16 bytes each, 4,096 for each MB.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -23,6 +23,10 @@
         }
         sanitize(&mut request, &self.settings);
         let objective_deadline = self.first_attempt_timeouts.objective_deadline(&request, class, now);
+        if self.quotas.is_full_for(request.volume) {
+            let open = self.requests.values().map(|request| request.spec.volume).collect();
+            self.quotas.drop_least_recent(&open);
+        }
         let plan = self.settings.plans.get(request.plan);
         self.quotas.on_request(request.volume, plan, request.volume_heads, now);
         self.key_order.push(request.key, id);
@@ -31,9 +35,7 @@
         self.requests.insert(id, OpenRequest::new(request, objective_deadline, now));
         self.select_backend(id, now);
         let Some(backend_id) = self.requests.get(&id).and_then(|request| request.queued_at) else { return };
-        if let Some(backend) = self.backends.get_mut(backend_id) {
-            backend.rate_control.on_demand(volume, units);
-        }
+        self.backends.on_demand(backend_id, volume, units);
         self.dispatch_queued(backend_id, now, actions);
     }
 
--- a/crates/policy/src/backend/rate_control.rs
+++ b/crates/policy/src/backend/rate_control.rs
@@ -118,10 +118,23 @@
         self.typical_demand
     }
 
-    /// Records a request for a volume that is queued at the backend on arrival.
-    pub(crate) fn on_demand(&mut self, volume: u64, units: f64) {
+    /// Records a request for a volume that is queued at the backend on arrival; whether the volume is tracked from now
+    /// on, which `may_track` allows.
+    pub(crate) fn on_demand(&mut self, volume: u64, units: f64, may_track: bool) -> bool {
         self.totals.offered += units;
-        self.demands.entry(volume).or_default().offered += units;
+        if let Some(demand) = self.demands.get_mut(&volume) {
+            demand.offered += units;
+            return false;
+        }
+        if may_track {
+            self.demands.insert(volume, VolumeDemand { offered: units, ..VolumeDemand::default() });
+        }
+        may_track
+    }
+
+    /// The number of volumes whose demand is tracked.
+    pub(crate) fn demands(&self) -> usize {
+        self.demands.len()
     }
 
     /// Records an attempt that is sent.
@@ -153,13 +166,16 @@
     /// request.
     pub(crate) fn has_share_left(&mut self, volume: u64, weight: f64, max_units: f64, now: Micros) -> bool {
         let rate = self.fair_share_level * weight;
-        let demand = self.demands.entry(volume).or_default();
-        demand.share.refill(now, rate, rate + max_units) > 0.0
+        let mut unused = TokenBucket::default();
+        let share = self.demands.get_mut(&volume).map_or(&mut unused, |demand| &mut demand.share);
+        share.refill(now, rate, rate + max_units) > 0.0
     }
 
     /// Takes units from a volume's fair share.
     pub(crate) fn charge_share(&mut self, volume: u64, units: f64) {
-        self.demands.entry(volume).or_default().share.take(units);
+        if let Some(demand) = self.demands.get_mut(&volume) {
+            demand.share.take(units);
+        }
     }
 
     /// Ends a control period: the regulator sets the rate, which is then divided among the volumes.
@@ -198,7 +214,7 @@
                 total.add(demand.rate, quota);
             }
         }
-        self.demands.retain(|_, demand| demand.rate > MIN_DEMAND);
+        self.demands.retain(|volume, demand| demand.rate > MIN_DEMAND && quotas.get(*volume).is_some());
         total
     }
 }
--- a/crates/policy/src/backend/set.rs
+++ b/crates/policy/src/backend/set.rs
@@ -6,6 +6,9 @@
 use crate::{BackendId, Endpoint, Micros, Readiness, RequestId, Settings};
 use std::collections::BTreeMap;
 
+/// The most pairs of a volume and a backend whose demand is tracked.
+const MAX_DEMANDS: usize = 32_768;
+
 /// All backends that are in the endpoint list, or still have attempts in flight or requests queued.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct BackendSet {
@@ -14,6 +17,8 @@
     ready: Vec<BackendId>,
     /// The ready backends of each shard, in order of their identifiers.
     ready_by_shard: BTreeMap<u32, Vec<BackendId>>,
+    /// The number of pairs of a volume and a backend whose demand is tracked.
+    demands: usize,
 }
 
 impl BackendSet {
@@ -63,9 +68,25 @@
         self.by_id.values_mut().for_each(|backend| backend.health.restart_response_clock(now));
     }
 
+    /// Records a request for a volume that is queued at a backend on arrival. Past [`MAX_DEMANDS`] the demand of a
+    /// volume that is new there counts in the backend's total alone.
+    pub(crate) fn on_demand(&mut self, backend: BackendId, volume: u64, units: f64) {
+        let may_track = self.demands < MAX_DEMANDS;
+        let Some(backend) = self.by_id.get_mut(&backend) else { return };
+        if backend.rate_control.on_demand(volume, units, may_track) {
+            self.demands += 1;
+        }
+    }
+
+    /// The number of pairs of a volume and a backend whose demand is tracked.
+    pub(crate) fn demands(&self) -> usize {
+        self.demands
+    }
+
     /// Ends the control period of every backend.
     pub(crate) fn end_period(&mut self, quotas: &VolumeQuotas, settings: &Settings) {
         self.by_id.values_mut().for_each(|backend| backend.end_period(quotas, settings));
+        self.demands = self.by_id.values().map(|backend| backend.rate_control.demands()).sum();
     }
 
     /// Marks every backend as removed; the entries of the complete list that follows undo this.
--- a/crates/policy/src/controller.rs
+++ b/crates/policy/src/controller.rs
@@ -60,6 +60,12 @@
         self.schedule_next_sweep(now, actions);
     }
 
+    /// The number of volumes that it knows, and of pairs of a volume and a backend whose demand it tracks. Both are
+    /// bounded, whatever names clients give their volumes.
+    pub fn tracked_volumes(&self) -> (usize, usize) {
+        (self.quotas.len(), self.backends.demands())
+    }
+
     /// On the first event, begins the first control period and opens the watch on the endpoint list.
     fn start_once(&mut self, now: Micros, actions: &mut Vec<Action>) {
         if self.timers.are_started() {
--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -6,7 +6,7 @@
 
 use crate::token_bucket::TokenBucket;
 use crate::{Micros, RequestClass, SECOND, ServicePlan};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Time after the longest possible deadline of a volume's last request until the volume is dropped. Longer
 /// than any surge lasts.
@@ -14,6 +14,8 @@
 /// Number of volumes above which idle ones are dropped without [`IDLE_TIMEOUT`]. Far more than a deployment
 /// has, in less than a megabyte.
 const MAX_IDLE_VOLUMES: usize = 2048;
+/// The most volumes that are known at once, beside those with open requests.
+const MAX_VOLUMES: usize = 8192;
 /// A new quota starts with this head's equal share of the limit's burst divided by this.
 const INITIAL_BURST_DIVISOR: f64 = 3.0;
 /// Rate borrowed on delayed load reports may use up a limit's slack divided by this.
@@ -130,6 +132,25 @@
         quota.last_request_at = now;
     }
 
+    /// The number of volumes that are known.
+    pub(crate) fn len(&self) -> usize {
+        self.by_volume.len()
+    }
+
+    /// Whether a volume is unknown, and as many are known as may be.
+    pub(crate) fn is_full_for(&self, volume: u64) -> bool {
+        self.by_volume.len() >= MAX_VOLUMES && !self.by_volume.contains_key(&volume)
+    }
+
+    /// Drops the half of the volumes that had no request for the longest, except those with open requests.
+    pub(crate) fn drop_least_recent(&mut self, open: &BTreeSet<u64>) {
+        let mut times: Vec<Micros> = self.by_volume.values().map(|quota| quota.last_request_at).collect();
+        let middle = times.len() / 2;
+        let (_, median, _) = times.select_nth_unstable(middle);
+        let median = *median;
+        self.by_volume.retain(|volume, quota| quota.last_request_at > median || open.contains(volume));
+    }
+
     /// Drops the quotas of idle volumes, so that memory does not grow with every volume ever requested.
     ///
     /// The buckets of an idle volume are full, and the buckets of a new quota start with less, so dropping
--- a/crates/policy/tests/common/head.rs
+++ b/crates/policy/tests/common/head.rs
@@ -23,6 +23,11 @@
         TestHead::started(vec![ready(1, 1)]).0
     }
 
+    /// The number of volumes that it knows, and of the demands that it tracks.
+    pub fn tracked_volumes(&self) -> (usize, usize) {
+        self.controller.tracked_volumes()
+    }
+
     pub fn handle(&mut self, now: Micros, event: Event) -> Vec<Action> {
         let mut actions = Vec::new();
         self.controller.handle(now, event, &mut actions);
--- a/crates/sedgerun/src/request_ids/mod.rs
+++ b/crates/sedgerun/src/request_ids/mod.rs
@@ -13,8 +13,10 @@
 use std::time::{Duration, Instant};
 use thiserror::Error;
 
-/// How long ids are remembered after their requests have ended.
+/// How long ids are remembered after their requests have ended, at the least.
 const RETENTION: Duration = Duration::from_secs(5);
+/// Time in which the ids of ended requests are collected, to be forgotten together.
+const COLLECTION_TIME: Duration = Duration::from_secs(1);
 
 /// Why an id was not registered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
@@ -30,19 +32,51 @@
 /// The ids that may not come again.
 #[derive(Debug)]
 pub struct RequestIds {
-    /// The ids of open and of recent requests.
-    known: RefCell<HashSet<u64>>,
-    /// The ids of requests that have ended, and when, in that order.
-    recent: RefCell<VecDeque<(Instant, u64)>>,
+    known: RefCell<KnownIds>,
     max_known: usize,
     /// The ids that the other process of an upgrade sees too, where there may be one.
     shared: Option<SharedRequestIds>,
 }
 
+/// The ids of open and of recent requests.
+#[derive(Debug, Default)]
+struct KnownIds {
+    open: HashSet<u64>,
+    /// The ids of requests that have ended, with when each collection began, in that order.
+    ended: VecDeque<(Instant, HashSet<u64>)>,
+}
+
+impl KnownIds {
+    fn contains(&self, id: u64) -> bool {
+        self.open.contains(&id) || self.ended.iter().any(|(_, ids)| ids.contains(&id))
+    }
+
+    fn len(&self) -> usize {
+        self.open.len() + self.ended.iter().map(|(_, ids)| ids.len()).sum::<usize>()
+    }
+
+    /// Records the end of a request.
+    fn end(&mut self, id: u64, now: Instant) {
+        self.open.remove(&id);
+        let is_current = self.ended.back().is_some_and(|(begun_at, _)| now - *begun_at < COLLECTION_TIME);
+        if !is_current {
+            self.ended.push_back((now, HashSet::new()));
+        }
+        if let Some((_, ids)) = self.ended.back_mut() {
+            ids.insert(id);
+        }
+    }
+
+    fn forget_old(&mut self, now: Instant) {
+        let is_old = |begun_at: Instant| now - begun_at > COLLECTION_TIME + RETENTION;
+        while self.ended.pop_front_if(|(begun_at, _)| is_old(*begun_at)).is_some() {}
+    }
+}
+
 impl RequestIds {
     /// No ids, of which at most `max_known` are remembered; `shared` is what another process of this head sees.
     pub fn new(max_known: usize, shared: Option<SharedRequestIds>) -> Rc<RequestIds> {
-        Rc::new(RequestIds { known: RefCell::default(), recent: RefCell::default(), max_known, shared })
+        Rc::new(RequestIds { known: RefCell::default(), max_known, shared })
     }
 
     /// Registers the id of a request that is open for at most `timeout`.
@@ -50,9 +84,9 @@
     /// # Errors
     /// The id is in use, here or at the other process of an upgrade, or too many are.
     pub fn register(self: &Rc<Self>, id: u64, timeout: Duration) -> Result<RequestIdGuard, RegisterError> {
-        self.forget_old();
         let mut known = self.known.borrow_mut();
-        if known.contains(&id) {
+        known.forget_old(Instant::now());
+        if known.contains(id) {
             return Err(RegisterError::InUse);
         }
         if known.len() >= self.max_known {
@@ -61,20 +95,9 @@
         if self.shared.as_ref().is_some_and(|shared| !shared.claim(id, timeout + RETENTION)) {
             return Err(RegisterError::InUse);
         }
-        known.insert(id);
+        known.open.insert(id);
         Ok(RequestIdGuard { ids: Rc::clone(self), id })
     }
-
-    fn forget_old(&self) {
-        let mut recent = self.recent.borrow_mut();
-        while let Some((ended_at, id)) = recent.front().copied() {
-            if ended_at.elapsed() <= RETENTION {
-                return;
-            }
-            recent.pop_front();
-            self.known.borrow_mut().remove(&id);
-        }
-    }
 }
 
 /// An id for as long as its request, or an attempt of it, is open.
@@ -86,6 +109,6 @@
 
 impl Drop for RequestIdGuard {
     fn drop(&mut self) {
-        self.ids.recent.borrow_mut().push_back((Instant::now(), self.id));
+        self.ids.known.borrow_mut().end(self.id, Instant::now());
     }
 }
--- a/crates/sedgerun/src/resource_limits.rs
+++ b/crates/sedgerun/src/resource_limits.rs
@@ -14,7 +14,7 @@
 /// Open requests for each MiB of memory.
 const OPEN_REQUESTS_PER_MIB: usize = 4;
 /// Request ids that are remembered for each MiB of memory.
-const REQUEST_IDS_PER_MIB: usize = 1024;
+const REQUEST_IDS_PER_MIB: usize = 4096;
 /// Bytes that requests to the administration API may take up: some of the largest size.
 const ADMIN_REQUEST_BYTES: usize = 512 * 1024;
 
