cluster: a voter outlasts a disk that fails for a while

Cause: one write or sync that failed (ENOSPC, EIO) stopped a voter for good, and the database refuses all use behind it; disks of a majority that fail for a second end a fleet until its heads are started anew. Class of fault: a passing failure taken for a final one.

Change: the writer repeats a batch for 15 s, with a growing delay; the database is opened anew and checked before, so that no page counts as written that a failed sync has dropped. Each job of a batch may be repeated. After 15 s the voter stops as before, and another takes its place.

--- a/crates/cluster/src/disk/open.rs
+++ b/crates/cluster/src/disk/open.rs
@@ -2,7 +2,7 @@
 
 use super::contents::OpenedStore;
 use super::error::{OpenError, StoreError};
-use super::writer::{Job, SyncTimes, Writer, write};
+use super::writer::{Job, Reopen, SyncTimes, Writer, write};
 use super::{Disk, key};
 use redb::{Builder, Database, StorageBackend};
 use sedgerun_replication::record::{self, RecordType};
@@ -31,7 +31,9 @@
     created.map_err(|source| OpenError::Folder { folder: folder.to_owned(), source })?;
     let (database, opened) = open_database(folder)?;
     let file = file_name(folder);
-    let (disk, writer, opened) = begin_incarnation(database, opened, &file)?;
+    let path = folder.join(FILE);
+    let reopen: Reopen = Box::new(move || builder().create(&path));
+    let (disk, writer, opened) = begin_incarnation(database, opened, &file, Some(reopen))?;
     sync_folder(folder).map_err(StoreError::SyncFolder).map_err(OpenError::in_file(&file))?;
     let thread = std::thread::Builder::new().name("fleet-disk".into());
     let spawned = thread.spawn(move || writer.run());
@@ -62,7 +64,7 @@
 ) -> Result<(Disk, OpenedStore), OpenError> {
     let database = builder().create_with_backend(backend).map_err(StoreError::Open)?;
     let opened = OpenedStore::read(&database)?;
-    let (disk, mut writer, opened) = begin_incarnation(database, opened, SIMULATED_DISK)?;
+    let (disk, mut writer, opened) = begin_incarnation(database, opened, SIMULATED_DISK, None)?;
     tokio::spawn(async move {
         while let Some(first) = writer.next_job().await {
             tokio::time::sleep(sync_time()).await;
@@ -88,6 +90,7 @@
     database: Database,
     mut opened: OpenedStore,
     file: &str,
+    reopen: Option<Reopen>,
 ) -> Result<(Disk, Writer, OpenedStore), OpenError> {
     opened.identity.incarnation += 1;
     let identity = record::encode(RecordType::Identity, &opened.identity);
@@ -96,7 +99,7 @@
     write(&database, &[job]).map_err(StoreError::Database).map_err(OpenError::in_file(file))?;
     let (jobs, waiting) = mpsc::channel(MAX_WAITING_JOBS);
     let sync_times = Arc::new(SyncTimes::default());
-    let writer = Writer::new(database, file.to_owned(), waiting, Arc::clone(&sync_times));
+    let writer = Writer::new(database, reopen, file.to_owned(), waiting, Arc::clone(&sync_times));
     Ok((Disk { jobs, sync_times }, writer, opened))
 }
 
--- a/crates/cluster/src/disk/writer.rs
+++ b/crates/cluster/src/disk/writer.rs
@@ -7,17 +7,28 @@
 use super::{failpoint, key};
 use crate::types::{Entry, RaftTypes};
 use openraft::storage::LogFlushed;
-use redb::{Database, Durability};
+use redb::{Database, DatabaseError, Durability};
 use std::io;
 use std::ops::Range;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::sync::{mpsc, oneshot};
 
 /// Maximum number of jobs in one transaction.
 const MAX_BATCH: usize = 512;
 
+/// Time for which a failed write is repeated: a full or faulty disk may recover within it. After it the write has
+/// failed, and the voter stops.
+const RETRY_TIME: Duration = Duration::from_secs(15);
+/// Delay before the first repetition of a failed write; it doubles up to [`MAX_RETRY_DELAY`].
+const MIN_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// The longest delay between repetitions of a failed write.
+const MAX_RETRY_DELAY: Duration = Duration::from_secs(1);
+
+/// Opens the database again; it is closed by then.
+pub(super) type Reopen = Box<dyn FnMut() -> Result<Database, DatabaseError> + Send>;
+
 /// Reports the result of a job to its sender.
 pub(super) type JobDone = oneshot::Sender<Result<(), WriteError>>;
 
@@ -51,7 +62,7 @@
     }
 
     /// Reports the result of the write to the job's sender, or reads what the job requests.
-    fn finish(self, result: &Result<(), WriteError>, database: &Database) {
+    fn finish(self, result: &Result<(), WriteError>, database: Option<&Database>) {
         match self {
             Job::Append(_, flushed) => {
                 // Only the text is passed on: it contains the sources, which the consensus library would
@@ -65,14 +76,21 @@
             | Job::Snapshot(_, _, done) => drop(done.send(result.clone())),
             Job::PutWithoutSync(..) => {}
             Job::ReadLog(range, max_bytes, done) => {
-                let read = StoredLog::of(database).and_then(|log| log.first_entries(range, max_bytes));
+                let read = opened(database)
+                    .and_then(StoredLog::of)
+                    .and_then(|log| log.first_entries(range, max_bytes));
                 drop(done.send(read));
             }
-            Job::ReadSnapshot(done) => drop(done.send(read_snapshot(database))),
+            Job::ReadSnapshot(done) => drop(done.send(opened(database).and_then(read_snapshot))),
         }
     }
 }
 
+/// The database, unless it is closed behind a failed write.
+fn opened(database: Option<&Database>) -> Result<&Database, StoreError> {
+    database.ok_or(StoreError::Database(redb::Error::DatabaseClosed))
+}
+
 /// Durations of write transactions since the start, recorded by the writer.
 #[derive(Debug, Default)]
 pub struct SyncTimes {
@@ -97,7 +115,10 @@
 
 /// Writes jobs to the database.
 pub(super) struct Writer {
-    database: Database,
+    /// `None` while it is closed, behind a failed write.
+    database: Option<Database>,
+    /// Opens it again; `None` where a failed write is final.
+    reopen: Option<Reopen>,
     /// The file's name in error messages.
     file: String,
     waiting: mpsc::Receiver<Job>,
@@ -107,11 +128,12 @@
 impl Writer {
     pub(super) fn new(
         database: Database,
+        reopen: Option<Reopen>,
         file: String,
         waiting: mpsc::Receiver<Job>,
         sync_times: Arc<SyncTimes>,
     ) -> Writer {
-        Writer { database, file, waiting, sync_times }
+        Writer { database: Some(database), reopen, file, waiting, sync_times }
     }
 
     /// Writes jobs on the calling thread until all handles are dropped.
@@ -135,20 +157,56 @@
         {
             jobs.push(job);
         }
-        let result = if jobs.iter().all(Job::is_read) { Ok(()) } else { self.write_timed(&jobs) };
+        let result = if jobs.iter().all(Job::is_read) { Ok(()) } else { self.write_with_retries(&jobs) };
         if let Err(error) = &result {
             tracing::error!("fleet: cannot write to the store: {error}");
         }
         for job in jobs {
-            job.finish(&result, &self.database);
+            job.finish(&result, self.database.as_ref());
         }
     }
 
-    fn write_timed(&self, jobs: &[Job]) -> Result<(), WriteError> {
+    /// Writes jobs, again and again for [`RETRY_TIME`] while the disk fails. The jobs may be repeated: each puts or
+    /// removes what it names. The database is opened anew first, as it refuses all further use behind a failed write;
+    /// it is checked then, so that no page counts as written that a failed sync has dropped.
+    fn write_with_retries(&mut self, jobs: &[Job]) -> Result<(), WriteError> {
         let begun = Instant::now();
-        let written = write(&self.database, jobs);
+        let mut delay = MIN_RETRY_DELAY;
+        loop {
+            let Err(error) = self.write_timed(jobs) else {
+                if delay > MIN_RETRY_DELAY {
+                    tracing::info!("fleet: {}: written again after {:?}", self.file, begun.elapsed());
+                }
+                return Ok(());
+            };
+            if self.reopen.is_none() || begun.elapsed() + delay > RETRY_TIME {
+                let source = Arc::new(error);
+                return Err(WriteError::Database { file: self.file.clone(), source });
+            }
+            tracing::warn!("fleet: {}: {error}; trying again in {delay:?}", self.file);
+            std::thread::sleep(delay);
+            delay = (2 * delay).min(MAX_RETRY_DELAY);
+        }
+    }
+
+    fn write_timed(&mut self, jobs: &[Job]) -> Result<(), redb::Error> {
+        let begun = Instant::now();
+        let written = self.database().and_then(|database| write(database, jobs));
         self.sync_times.add(begun.elapsed().as_micros() as u64);
-        written.map_err(|error| WriteError::Database { file: self.file.clone(), source: Arc::new(error) })
+        if written.is_err() && self.reopen.is_some() {
+            self.database = None;
+        }
+        written
+    }
+
+    /// The database, which is opened first if it is closed.
+    fn database(&mut self) -> Result<&Database, redb::Error> {
+        let database = match (self.database.take(), &mut self.reopen) {
+            (Some(database), _) => database,
+            (None, Some(reopen)) => reopen()?,
+            (None, None) => return Err(redb::Error::DatabaseClosed),
+        };
+        Ok(self.database.insert(database))
     }
 }
 
