--- a/crates/sedgerun/tests/peers/mod.rs
+++ b/crates/sedgerun/tests/peers/mod.rs
@@ -224,7 +224,7 @@
     pub lost: AtomicU64,
 }
 
-/// Clients that each send a small read at an interval, on a connection that they keep.
+/// Clients that each send a small read at an interval, on a connection that they keep or on a new one each time.
 pub struct SteadyClients {
     pub counts: Arc<SteadyCounts>,
     over: Arc<AtomicBool>,
@@ -233,10 +233,19 @@
 
 impl SteadyClients {
     pub fn start(address: SocketAddr, clients: usize) -> SteadyClients {
+        SteadyClients::run(address, clients, true)
+    }
+
+    /// Clients that make a new connection for each request.
+    pub fn start_fresh(address: SocketAddr, clients: usize) -> SteadyClients {
+        SteadyClients::run(address, clients, false)
+    }
+
+    fn run(address: SocketAddr, clients: usize, keep: bool) -> SteadyClients {
         let (counts, over) = (Arc::<SteadyCounts>::default(), Arc::<AtomicBool>::default());
         let threads = (0..clients).map(|_| {
             let (counts, over) = (Arc::clone(&counts), Arc::clone(&over));
-            thread::spawn(move || run_steady(address, &counts, &over))
+            thread::spawn(move || run_steady(address, keep, &counts, &over))
         });
         let threads = threads.collect();
         SteadyClients { counts, over, threads }
@@ -250,7 +259,7 @@
     }
 }
 
-fn run_steady(address: SocketAddr, counts: &SteadyCounts, over: &AtomicBool) {
+fn run_steady(address: SocketAddr, keep: bool, counts: &SteadyCounts, over: &AtomicBool) {
     let mut kept: Option<BufReader<TcpStream>> = None;
     while !over.load(Ordering::SeqCst) {
         thread::sleep(STEADY_INTERVAL);
@@ -270,7 +279,7 @@
             continue;
         };
         count(counts, Some(&response));
-        kept = (response.status == "200").then_some(connection);
+        kept = (keep && response.status == "200").then_some(connection);
     }
 }
 
