--- a/crates/cluster/src/disk/writer.rs
+++ b/crates/cluster/src/disk/writer.rs
@@ -20,7 +20,7 @@
 
 /// Time for which a failed write is repeated: a full or faulty disk may recover within it. After it the write has
 /// failed, and the voter stops.
-const RETRY_TIME: Duration = Duration::from_secs(15);
+const RETRY_TIME: Duration = Duration::from_secs(10);
 /// Delay before the first repetition of a failed write; it doubles up to [`MAX_RETRY_DELAY`].
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// The longest delay between repetitions of a failed write.
