--- a/crates/policy/src/backend/set.rs
+++ b/crates/policy/src/backend/set.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 
 /// The most pairs of a volume and a backend whose demand is tracked.
-const MAX_DEMANDS: usize = 32_768;
+const MAX_DEMANDS: usize = 8192;
 
 /// All backends that are in the endpoint list, or still have attempts in flight or requests queued.
 #[derive(Clone, Debug, Default)]
--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -15,7 +15,7 @@
 /// has, in less than a megabyte.
 const MAX_IDLE_VOLUMES: usize = 2048;
 /// The most volumes that are known at once, beside those with open requests.
-const MAX_VOLUMES: usize = 8192;
+const MAX_VOLUMES: usize = 4096;
 /// A new quota starts with this head's equal share of the limit's burst divided by this.
 const INITIAL_BURST_DIVISOR: f64 = 3.0;
 /// Rate borrowed on delayed load reports may use up a limit's slack divided by this.
--- a/crates/policy/tests/new_volumes.rs
+++ b/crates/policy/tests/new_volumes.rs
@@ -25,7 +25,7 @@
         served += sent.len();
         head.end_request(now, number);
         let (volumes, demands) = head.tracked_volumes();
-        assert!(volumes <= 8192 && demands <= 32_768, "{volumes} volumes, {demands} demands after {number}");
+        assert!(volumes <= 4096 && demands <= 8192, "{volumes} volumes, {demands} demands after {number}");
     }
     assert!(served > 0, "nothing was sent");
 }
--- a/crates/sedgerun/tests/frozen_settings.rs
+++ b/crates/sedgerun/tests/frozen_settings.rs
@@ -74,7 +74,7 @@
         (bounds.max_open_requests, bounds.response_body_bytes, bounds.max_whole_response_bytes),
         (384, 6_291_456, 1_572_864)
     );
-    assert_eq!((bounds.request_head_bytes, bounds.request_ids), (3_145_728, 393_216));
+    assert_eq!((bounds.request_head_bytes, bounds.request_ids), (3_145_728, 196_608));
     assert_eq!(
         (bounds.request_body_bytes, bounds.list.bytes, bounds.list.entries),
         (12_582_912, 6_291_456, 24_576)
