--- a/crates/sedgerun/tests/peers/mod.rs
+++ b/crates/sedgerun/tests/peers/mod.rs
@@ -157,6 +157,8 @@
 pub struct ReadResponse {
     pub status: String,
     pub body: Option<Vec<u8>>,
+    /// The connection closes behind it.
+    pub closes: bool,
 }
 
 /// Sends a request and reads the response to its end; `None` where the connection ends without any.
@@ -171,7 +173,7 @@
 /// Reads a response in any framing.
 pub fn read_response(reader: &mut BufReader<TcpStream>) -> Option<ReadResponse> {
     use std::io::BufRead;
-    let (mut status, mut length, mut chunked) = (String::new(), None, false);
+    let (mut status, mut length, mut chunked, mut closes) = (String::new(), None, false, false);
     loop {
         let mut line = String::new();
         if reader.read_line(&mut line).ok()? == 0 {
@@ -187,10 +189,12 @@
             length = value.trim().parse::<usize>().ok();
         } else if line.starts_with("transfer-encoding:") {
             chunked = true;
+        } else if line == "connection: close" {
+            closes = true;
         }
     }
     let body = if chunked { read_chunks(reader) } else { read_exact(reader, length.unwrap_or(0)) };
-    Some(ReadResponse { status, body })
+    Some(ReadResponse { status, body, closes })
 }
 
 fn read_exact(reader: &mut impl Read, length: usize) -> Option<Vec<u8>> {
@@ -279,7 +283,7 @@
             continue;
         };
         count(counts, Some(&response));
-        kept = (keep && response.status == "200").then_some(connection);
+        kept = (keep && !response.closes && response.body.is_some()).then_some(connection);
     }
 }
 
--- a/crates/sedgerun/tests/standin/mod.rs
+++ b/crates/sedgerun/tests/standin/mod.rs
@@ -627,6 +627,19 @@
         peak.trim().trim_end_matches(" kB").parse().expect("a number")
     }
 
+    /// The same, unless the process has ended.
+    pub fn peak_memory_if_alive(&self) -> Option<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+        peak.trim().trim_end_matches(" kB").parse().ok()
+    }
+
+    /// Whether the process is running. One that has ended is a zombie until it is waited for.
+    pub fn is_alive(&self) -> bool {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id()));
+        stat.is_ok_and(|stat| !stat.rsplit(") ").next().unwrap_or_default().starts_with('Z'))
+    }
+
     /// Descriptors that it holds.
     pub fn descriptors(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("its descriptors").count()
