cluster, replication: three circles of files untied

Cause: files that use each other can only be read together: cluster's change, member and pending_change; its disk's contents and stored_log; replication's state, outcomes, change_batch and heap_size.

Change: moves alone. Commands, changes and their outcomes have a file of their own in replication (state names them as before); the tables of the database are in disk/tables; the memory for waiting changes is in pending_memory, which reserves it.

--- a/crates/cluster/src/change/batch.rs
+++ b/crates/cluster/src/change/batch.rs
@@ -2,11 +2,12 @@
 //! each voter syncs them together.
 
 use super::CHANGE_TIMEOUT;
-use super::capacity::{Admission, Reservation};
+use super::capacity::Admission;
 use crate::change_error::CommitError;
 use crate::disk::failpoint;
 use crate::member::Member;
 use crate::pending_change::{CommitResult, PendingChange};
+use crate::pending_memory::Reservation;
 use crate::types::{PeerResponse, RaftTypes, VoterAddress};
 use openraft::error::{ClientWriteError, RaftError};
 use openraft::raft::ClientWriteResponse;
--- a/crates/cluster/src/change/capacity.rs
+++ b/crates/cluster/src/change/capacity.rs
@@ -6,51 +6,11 @@
 
 use crate::change_error::CommitError;
 use crate::member::Member;
+use crate::pending_memory::{PendingBytes, Reservation};
 use openraft::{EntryPayload, ServerState};
 use sedgerun_replication::heap_size::HeapSize;
 use sedgerun_replication::state::{Change, ChangeOutcome};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-
-/// Bytes of all changes that wait to be committed.
-#[derive(Clone, Copy, Debug, Default)]
-struct Reserved {
-    /// Memory of the changes themselves.
-    changes: usize,
-    /// Memory that they add to the state.
-    growth: usize,
-}
-
-/// The memory that is reserved for changes that wait to be committed.
-#[derive(Clone, Debug, Default)]
-pub struct PendingMemory(Arc<Mutex<Reserved>>);
-
-impl PendingMemory {
-    fn lock(&self) -> MutexGuard<'_, Reserved> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
-/// The memory of one change that waits to be committed, until it is dropped.
-#[derive(Debug)]
-pub struct Reservation {
-    pending: PendingMemory,
-    reserved: Reserved,
-}
-
-impl Reservation {
-    /// Memory of the change itself, in bytes.
-    pub fn change_bytes(&self) -> usize {
-        self.reserved.changes
-    }
-}
-
-impl Drop for Reservation {
-    fn drop(&mut self) {
-        let mut reserved = self.pending.lock();
-        reserved.changes -= self.reserved.changes;
-        reserved.growth -= self.reserved.growth;
-    }
-}
+use std::sync::Arc;
 
 /// What the leader does with a change.
 pub(super) enum Admission {
@@ -75,7 +35,9 @@
                 return Ok(Admission::Refused(refusal));
             }
         }
-        self.reserve(Reserved { changes: change.heap_bytes(), growth }).map(Admission::Admitted)
+        let bytes = PendingBytes { changes: change.heap_bytes(), growth };
+        let reserved = self.pending.reserve(bytes, self.settings.memory.pending_bytes);
+        reserved.map(Admission::Admitted)
     }
 
     fn check_uncommitted_log(&self) -> Result<(), CommitError> {
@@ -86,7 +48,7 @@
     /// The refusal of a change that adds `growth` bytes to the state, if that takes it over its limit.
     fn exceeds_state_limit(&self, objects: usize, growth: usize) -> Option<ChangeOutcome> {
         let limit = self.settings.memory.state_bytes;
-        let bytes = objects + growth + self.pending.lock().growth;
+        let bytes = objects + growth + self.pending.growth();
         (growth > 0 && bytes > limit).then(|| {
             ChangeOutcome::Conflict(format!(
                 "the change would take the fleet's tenants and bans to {bytes} bytes of memory, over the {limit} \
@@ -113,17 +75,4 @@
         }
         Ok(false)
     }
-
-    /// Reserves the memory for a change. A change that is larger than the limit is admitted if no other waits.
-    fn reserve(&self, reserved: Reserved) -> Result<Reservation, CommitError> {
-        let limit = self.settings.memory.pending_bytes;
-        let mut all = self.pending.lock();
-        let bytes = all.changes + reserved.changes;
-        if bytes > limit && all.changes > 0 {
-            return Err(CommitError::PendingChanges { bytes, limit });
-        }
-        all.changes = bytes;
-        all.growth += reserved.growth;
-        Ok(Reservation { pending: self.pending.clone(), reserved })
-    }
 }
--- a/crates/cluster/src/change/mod.rs
+++ b/crates/cluster/src/change/mod.rs
@@ -16,7 +16,6 @@
 mod read;
 
 pub use batch::MAX_WAITING_CHANGES;
-pub use capacity::{PendingMemory, Reservation};
 
 use crate::change_error::{AttemptError, ClusterRequestError, CommitError};
 use crate::environment::{EntropyError, random};
--- a/crates/cluster/src/disk/contents.rs
+++ b/crates/cluster/src/disk/contents.rs
@@ -3,9 +3,10 @@
 use super::error::StoreError;
 use super::key;
 use super::stored_log::StoredLog;
+use super::tables::{LOG, META};
 use crate::environment::random;
 use crate::types::{LogId, SnapshotMeta, Vote};
-use redb::{Database, ReadOnlyTable, ReadableDatabase, TableDefinition};
+use redb::{Database, ReadOnlyTable, ReadableDatabase};
 use sedgerun_replication::record::{self, RecordType};
 use sedgerun_replication::store::StoreId;
 use sedgerun_replication::view::View;
@@ -13,11 +14,6 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
-/// Records by key ([`key`]).
-pub(super) const META: TableDefinition<'_, &str, &[u8]> = TableDefinition::new("meta");
-/// Log entries by index.
-pub(super) const LOG: TableDefinition<'_, u64, &[u8]> = TableDefinition::new("log");
-
 /// The identity of a store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Identity {
--- a/crates/cluster/src/disk/mod.rs
+++ b/crates/cluster/src/disk/mod.rs
@@ -2,12 +2,14 @@
 //! the view that the head received as a follower.
 //!
 //! One writer thread owns the file, so that no other thread blocks on the disk. It writes all queued jobs in
-//! one transaction, which needs one sync, and then reads what queued jobs request. All records have a checksum ([`record`]) and are read when the
-//! store is opened; a corrupt record is an error.
+//! one transaction, which needs one sync, and then reads what queued jobs request. A transaction that fails is repeated
+//! for some seconds. All records have a checksum ([`record`]) and are read when the store is opened; a corrupt record is
+//! an error.
 //!
 //! - `open`: opens a store and begins its next incarnation
 //! - `contents`: the contents of a store, and functions that read and replace them
 //! - `stored_log`: the Raft log, read entry by entry
+//! - `tables`: the tables of the database
 //! - `writer`: jobs, transactions and syncs
 //! - `error`: typed errors
 //!
@@ -17,6 +19,7 @@
 mod error;
 mod open;
 mod stored_log;
+mod tables;
 mod writer;
 
 pub use contents::{EncodedSnapshot, Identity, OpenedStore, replace_contents};
--- a/crates/cluster/src/disk/stored_log.rs
+++ b/crates/cluster/src/disk/stored_log.rs
@@ -1,7 +1,7 @@
 //! The Raft log in a store, read entry by entry: a log may be larger than the memory for it.
 
-use super::contents::LOG;
 use super::error::StoreError;
+use super::tables::LOG;
 use crate::types::{Entry, LogId};
 use redb::{Database, ReadOnlyTable, ReadableDatabase};
 use sedgerun_replication::record::{self, RecordType};
--- a/crates/cluster/src/disk/writer.rs
+++ b/crates/cluster/src/disk/writer.rs
@@ -1,9 +1,10 @@
 //! The writer of a store. It owns the database, writes all queued jobs in one transaction, and reports the
 //! result to the sender of each job.
 
-use super::contents::{EncodedSnapshot, LOG, META, read_snapshot};
+use super::contents::{EncodedSnapshot, read_snapshot};
 use super::error::{StoreError, WriteError};
 use super::stored_log::StoredLog;
+use super::tables::{LOG, META};
 use super::{failpoint, key};
 use crate::types::{Entry, RaftTypes};
 use openraft::storage::LogFlushed;
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`ClusterHandle`] (`handle`) | the serving thread's handle: start, reads, changes, metrics |
 //! | [`node`] | one head's node with all its tasks |
 //! | `member` | state shared by the tasks; responses to other heads, role, status |
+//! | `pending_change`, `pending_memory` | changes that wait to be committed, and the memory for them |
 //! | `change` | changes and linearizable reads, forwarded to the leader where necessary |
 //! | `election`, `recovery`, `repair` | elections, recovery of a store after a start, replacement of dead voters |
 //! | `follow`, `upstream`, `relay` | receiving updates, serving updates, registration of relays |
@@ -41,6 +42,7 @@
 mod peer_connection;
 mod peer_network;
 mod pending_change;
+mod pending_memory;
 mod raft_log;
 mod recovery;
 mod relay;
--- a/crates/cluster/src/member/mod.rs
+++ b/crates/cluster/src/member/mod.rs
@@ -19,11 +19,11 @@
 pub use origin::{AdoptError, BeginError};
 pub use start::StartError;
 
-use crate::change::PendingMemory;
 use crate::disk::{Disk, Identity};
 use crate::environment::now;
 use crate::peer_network::PeerNetwork;
 use crate::pending_change::PendingChange;
+use crate::pending_memory::PendingMemory;
 use crate::raft_log::RaftLog;
 use crate::settings::Settings;
 use crate::state_machine::StateMachine;
--- a/crates/cluster/src/member/start.rs
+++ b/crates/cluster/src/member/start.rs
@@ -1,12 +1,12 @@
 //! Starts a member from its settings and its opened store.
 
 use super::Member;
-use crate::change::PendingMemory;
 use crate::disk::{Identity, OpenedStore, StoreError};
 use crate::environment::{EntropyError, now, random};
 use crate::node_setup::NodeSetup;
 use crate::peer_network::PeerNetwork;
 use crate::pending_change::PendingChange;
+use crate::pending_memory::PendingMemory;
 use crate::raft_log::RaftLog;
 use crate::settings::Settings;
 use crate::state_machine::{ReplayError, StateMachine};
--- a/crates/cluster/src/pending_change.rs
+++ b/crates/cluster/src/pending_change.rs
@@ -1,7 +1,7 @@
 //! A change in the queue between the task that requests it and the task that writes batches.
 
-use crate::change::Reservation;
 use crate::change_error::CommitError;
+use crate::pending_memory::Reservation;
 use sedgerun_replication::state::{Change, ChangeOutcome};
 use tokio::sync::oneshot;
 
--- a/crates/replication/src/change_batch.rs
+++ b/crates/replication/src/change_batch.rs
@@ -4,8 +4,8 @@
 //! their changes encoded, and decode them when they are applied. A batch is stored and sent with the same bytes
 //! as a list of changes.
 
+use crate::change::Change;
 use crate::record::EncodeError;
-use crate::state::Change;
 use serde::ser::SerializeTuple as _;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use std::fmt;
--- a/crates/replication/src/heap_size.rs
+++ b/crates/replication/src/heap_size.rs
@@ -4,7 +4,7 @@
 //! allocator. They are the same on every head, whatever the allocator does, so that limits and metrics in
 //! bytes can be compared.
 
-use crate::state::{Change, ChangeOutcome, Command};
+use crate::change::{Change, ChangeOutcome, Command};
 use crate::view::{Object, ObjectKey, VersionedObject, VoterRules};
 use std::collections::{BTreeMap, BTreeSet};
 use std::mem::size_of;
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -26,6 +26,7 @@
 //! | [`heap_size`] | estimates of the memory that the above take up |
 //! | [`digest`], [`time`] | digests of message parts; the unit of time |
 
+pub mod change;
 pub mod change_batch;
 pub mod digest;
 pub mod election;
@@ -47,8 +48,9 @@
 mod view_size;
 pub mod watermark;
 
+pub use change::{Change, ChangeOutcome, Command};
 pub use peer::{Downstream, Peer, Voters};
-pub use state::{Change, ChangeOutcome, Command, ReplicatedState};
+pub use state::ReplicatedState;
 pub use store::StoreId;
 pub use time::Millis;
 pub use view::View;
--- a/crates/replication/src/outcomes.rs
+++ b/crates/replication/src/outcomes.rs
@@ -9,10 +9,10 @@
 //! not kept whole is represented by a placeholder, which contains the digest. A program of an earlier version
 //! does not apply such a retry either, but answers that its key was used for another change.
 
+use crate::change::{Change, ChangeOutcome, Command};
 use crate::change_batch::Encoded;
 use crate::heap_size::{HeapSize, allocation_bytes, node_bytes};
 use crate::record::EncodeError;
-use crate::state::{Change, ChangeOutcome, Command};
 use serde::de::{MapAccess, Visitor};
 use serde::ser::SerializeMap as _;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
--- a/crates/replication/src/view_size.rs
+++ b/crates/replication/src/view_size.rs
@@ -3,8 +3,8 @@
 //! The figures are estimates that depend on the objects alone, so all heads have the same figure at the same
 //! version. Tombstones are not counted: their number and their names are limited.
 
+use crate::change::Command;
 use crate::heap_size::{HeapSize, allocation_bytes};
-use crate::state::Command;
 use crate::view::{ExportFields, Object, ObjectKey, VersionedObject, View};
 use std::collections::BTreeMap;
 
