--- a/crates/sedgerun/tests/large_endpoint_lists.rs
+++ b/crates/sedgerun/tests/large_endpoint_lists.rs
@@ -317,3 +317,23 @@
     let log = log_of(program);
     assert!(log.contains("4200 entries or more, over the 4096 that limits.memory_mb allows"), "{log}");
 }
+
+/// Guards against a timeout of the whole exchange, which cuts a list that discovery is still writing, again and again.
+#[test]
+fn a_list_that_is_written_slowly_is_read_to_its_end() {
+    const PARTS: usize = 30;
+    const PART_INTERVAL: Duration = Duration::from_millis(80);
+    let backend = backend();
+    let text = list(&entries(&backend, 50)).to_string();
+    let discovery = ScriptedDiscovery::start(move |_, stream| {
+        stream.write_all(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", text.len()).as_bytes())?;
+        for part in text.as_bytes().chunks(text.len().div_ceil(PARTS)) {
+            thread::sleep(PART_INTERVAL);
+            stream.write_all(part)?;
+        }
+        Ok(())
+    });
+    let program = Program::start(&config(discovery.address), None);
+    wait_until_served(&program);
+    assert!(discovery.polls() <= 3, "{} polls: the list was cut", discovery.polls());
+}
