HTTP: a new client past the bound on clients is refused with a 503

Change: while there are descriptors to spare, at most 64 such clients at once get a 503 with Retry-After, and their connection closes behind it. Where descriptors are short, it is closed unread as before, with a line in the log.

--- a/crates/sedgerun/src/frontend/http/accept.rs
+++ b/crates/sedgerun/src/frontend/http/accept.rs
@@ -2,15 +2,20 @@
 //! own.
 
 use super::HttpFrontend;
+use super::body::memory_exhausted;
 use super::connection::ConnectionState;
 use super::connections::OpenConnection;
-use super::serve::ClientConnection;
+use super::response::ResponseBody;
+use super::serve::{ClientConnection, LINGER_TIME, linger};
+use crate::http1::write_all;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
 
+/// Clients that are being refused at once, at the most.
+const MAX_REFUSALS: usize = 64;
 /// Delay before the next accept after a failed one.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(5);
 
@@ -39,7 +44,7 @@
             if self.has_capacity_for_client().await {
                 self.serve_connection(stream);
             } else {
-                tracing::info!("a new client connection is closed: no other gives way to it");
+                self.refuse(stream);
             }
         }
     }
@@ -58,6 +63,31 @@
         self.connections.evict_longest_idle().await || (!descriptors_short && count < limits.max_clients)
     }
 
+    /// Refuses a client that no other gives way to: with a 503 while there are descriptors to spare, and otherwise by
+    /// closing the connection unread.
+    fn refuse(self: &Rc<Self>, stream: TcpStream) {
+        let descriptors = self.dispatch.backends().descriptors();
+        let is_short = descriptors.available() <= self.config.resource_limits.descriptors_for_backends;
+        if is_short || self.refusals.get() >= MAX_REFUSALS {
+            tracing::info!("a new client connection is closed unread: no other gives way to it");
+            return;
+        }
+        tracing::info!("a new client is refused: no other connection gives way to it");
+        let (frontend, permit) = (Rc::clone(self), descriptors.acquire());
+        self.refusals.set(self.refusals.get() + 1);
+        actix_rt::spawn(async move {
+            let refusal = memory_exhausted().response();
+            if let ResponseBody::Text(text) = &refusal.body {
+                let head = refusal.head(true);
+                let written = write_all(&stream, head.as_bytes(), text.as_bytes(), LINGER_TIME, |_| {});
+                let _ = written.await;
+            }
+            linger(&stream).await;
+            frontend.refusals.set(frontend.refusals.get() - 1);
+            drop(permit);
+        });
+    }
+
     /// Serves a client in a task of its own, which ends with the connection.
     fn serve_connection(self: &Rc<Self>, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
--- a/crates/sedgerun/src/frontend/http/mod.rs
+++ b/crates/sedgerun/src/frontend/http/mod.rs
@@ -53,6 +53,8 @@
     ids: Rc<RequestIds>,
     /// The open client connections.
     pub connections: Connections,
+    /// Clients that are being refused.
+    refusals: Cell<usize>,
     /// The head is shutting down: each response closes its connection.
     pub is_closing: Cell<bool>,
     /// An operator has drained this head: `/healthz` responds with 503, and each response closes its
@@ -75,6 +77,7 @@
             config,
             ids,
             connections: Connections::default(),
+            refusals: Cell::new(0),
             is_closing: Cell::new(false),
             is_drained: Cell::new(false),
             body_budget,
--- a/crates/sedgerun/src/frontend/http/serve.rs
+++ b/crates/sedgerun/src/frontend/http/serve.rs
@@ -21,7 +21,7 @@
 /// Time in which a client must read some part of a response.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time for which a connection stays open after its closing response, so that the client can receive it.
-const LINGER_TIME: Duration = Duration::from_millis(300);
+pub(super) const LINGER_TIME: Duration = Duration::from_millis(300);
 /// Time past the client's deadline that a head waits, in all, for the rest of a response that it passes on.
 const OVERDUE_WAIT: Duration = Duration::from_millis(300);
 
@@ -204,16 +204,20 @@
         self.write(b"\r\n", &[]).await
     }
 
-    /// Ends the sending side and waits for the client to close its own. Closing a socket with unread bytes resets the
-    /// connection, which can lose a response in transit; so bytes that arrive now are discarded.
     async fn linger(&self) -> CloseReason {
         self.state.enter(Phase::Lingering);
-        close_sending(&self.connection.stream);
-        let _ = tokio::time::timeout(LINGER_TIME, discard(&self.connection.stream, |_| {})).await;
+        linger(&self.connection.stream).await;
         CloseReason::Answered
     }
 }
 
+/// Ends the sending side and waits for the client to close its own. Closing a socket with unread bytes resets the
+/// connection, which can lose a response in transit; so bytes that arrive now are discarded.
+pub(super) async fn linger(stream: &TcpStream) {
+    close_sending(stream);
+    let _ = tokio::time::timeout(LINGER_TIME, discard(stream, |_| {})).await;
+}
+
 /// Why no request was received.
 enum ReceiveFailure {
     /// The client gets this response.
--- a/crates/sedgerun/tests/memory_account.rs
+++ b/crates/sedgerun/tests/memory_account.rs
@@ -121,3 +121,21 @@
     let cut = results.iter().flatten().filter(|is_sound| !**is_sound).count();
     assert_eq!(cut, 0, "responses were cut, {begun} began");
 }
+
+/// Guards against new connections that are closed unread while there are descriptors: past the bound on clients that
+/// follows from the memory, each gets its refusal.
+#[test]
+fn clients_past_the_bound_are_refused_with_an_answer() {
+    let head = start(MEMORY_MB);
+    // Bodies that go on keep their connections from giving way.
+    let holding = crowd(head.program.http, 460, |_| half_body(1, 3000, 100));
+    thread::sleep(Duration::from_millis(300));
+    let answers: Vec<String> = (0..20).map(|_| head.program.ask(&get("b1", 1000)).0).collect();
+    assert!(answers.iter().all(|answer| answer.starts_with("HTTP/1.1 503")), "{answers:?}");
+    drop(holding);
+    let begun = Instant::now();
+    while !head.program.ask(&get("b1", 1000)).0.starts_with("HTTP/1.1 200") {
+        assert!(begun.elapsed() < Duration::from_secs(4), "nobody is served afterwards");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
