--- a/crates/sedgerun/src/admin/connection.rs
+++ b/crates/sedgerun/src/admin/connection.rs
@@ -8,7 +8,7 @@
     write_all,
 };
 use crate::memory_budget::MemoryReservation;
-use http::StatusCode;
+use http::{Method, StatusCode};
 use std::fmt::Write;
 use std::rc::Rc;
 use std::time::Duration;
@@ -100,12 +100,27 @@
                 return send(connection, late, false).await;
             }
         };
-        let response = self.respond(&request, &body).await;
+        let (response, _memory) = self.within_memory(&request, self.respond(&request, &body).await);
         // What a refused request sent ahead is not read.
         let keeps_open = keep_alive && response.status.is_success();
         send(connection, response, keeps_open).await
     }
 
+    /// The response to a read with the memory reserved for its text, or the refusal of one that there is no memory for.
+    /// That to a change is no longer than the change, and tells what has become of it.
+    fn within_memory(&self, request: &ApiRequest, response: ApiResponse) -> (ApiResponse, MemoryReservation) {
+        let mut memory = self.response_memory.empty_reservation();
+        let bytes = response.text().len();
+        if *request.method() != Method::GET || memory.grow(bytes as u64).is_ok() {
+            return (response, memory);
+        }
+        let what = format!(
+            "the response has {bytes} bytes, more than limits.memory_mb leaves now: request single tenants, or repeat it \
+             later"
+        );
+        (ApiResponse::error(StatusCode::SERVICE_UNAVAILABLE, what), memory)
+    }
+
     /// Receives a body, with the memory reserved for it.
     async fn receive_body(
         &self,
