Clippy and rustdoc: clean again, and names in the terms of the field

Change: is_multiple_of, a loop over the front, plain names in place of the links, ensure_capacity, overdue and entry.

--- a/crates/dispatch/tests/transfers.rs
+++ b/crates/dispatch/tests/transfers.rs
@@ -130,5 +130,5 @@
         dispatcher.run_expired_timers(expiry);
     }
     // The control period of the controller is all that is left.
-    assert!(expired.iter().all(|expiry| (expiry - NOW) % (1_000 * MS) == 0), "{expired:?}");
+    assert!(expired.iter().all(|expiry| (expiry - NOW).is_multiple_of(1_000 * MS)), "{expired:?}");
 }
--- a/crates/sedgerun/src/admin/connection.rs
+++ b/crates/sedgerun/src/admin/connection.rs
@@ -96,8 +96,8 @@
             Ok(Ok(body)) => body,
             Ok(Err(response)) => return send(connection, response, false).await,
             Err(_) => {
-                let late = ApiResponse::error(StatusCode::REQUEST_TIMEOUT, "the body is late");
-                return send(connection, late, false).await;
+                let overdue = ApiResponse::error(StatusCode::REQUEST_TIMEOUT, "the body is late");
+                return send(connection, overdue, false).await;
             }
         };
         let (response, _memory) = self.within_memory(&request, self.respond(&request, &body).await);
--- a/crates/sedgerun/src/backend/http/connection.rs
+++ b/crates/sedgerun/src/backend/http/connection.rs
@@ -215,7 +215,7 @@
                 self.received.consume(length);
                 return Ok(summary);
             }
-            self.received.make_room(MAX_HEAD_BYTES).map_err(|_| ResponseError::HeadTooLarge)?;
+            self.received.ensure_capacity(MAX_HEAD_BYTES).map_err(|_| ResponseError::HeadTooLarge)?;
             if self.receive().await? == 0 {
                 return Err(ResponseError::UnexpectedEnd);
             }
--- a/crates/sedgerun/src/backend/http/idle_connections.rs
+++ b/crates/sedgerun/src/backend/http/idle_connections.rs
@@ -39,7 +39,7 @@
         }
     }
 
-    /// Adds a connection behind a complete response, after [`REUSE_DELAY`]. It closes if anything arrives that no
+    /// Adds a connection behind a complete response, after `REUSE_DELAY`. It closes if anything arrives that no
     /// request was sent for, or if the connections were dropped in the meantime.
     pub fn put(self: &Rc<Self>, mut connection: Connection) {
         if !connection.is_reusable() {
--- a/crates/sedgerun/src/backend/http/response_body.rs
+++ b/crates/sedgerun/src/backend/http/response_body.rs
@@ -44,8 +44,8 @@
                 BodySegment::Data(bytes) => self.pending = bytes,
                 BodySegment::End => return Ok(false),
                 BodySegment::Incomplete => {
-                    let room = self.connection.received.make_room(RECEIVE_BUFFER_BYTES);
-                    room.map_err(|_| ResponseError::HeadTooLarge)?;
+                    let ensured = self.connection.received.ensure_capacity(RECEIVE_BUFFER_BYTES);
+                    ensured.map_err(|_| ResponseError::HeadTooLarge)?;
                     if self.connection.receive().await? == 0 {
                         let is_end = self.decoder.ends_with_connection();
                         return if is_end { Ok(false) } else { Err(ResponseError::UnexpectedEnd) };
@@ -84,7 +84,7 @@
 }
 
 impl WholeBody {
-    /// An empty body whose memory beyond [`UNRESERVED_BYTES`] is reserved in `budget`.
+    /// An empty body whose memory beyond `UNRESERVED_BYTES` is reserved in `budget`.
     pub fn new(budget: &MemoryBudget) -> WholeBody {
         WholeBody { bytes: Vec::new(), reservation: budget.empty_reservation() }
     }
--- a/crates/sedgerun/src/http1/buffer.rs
+++ b/crates/sedgerun/src/http1/buffer.rs
@@ -59,7 +59,7 @@
     ///
     /// # Errors
     /// The buffer has this capacity, or there is no memory.
-    pub fn make_room(&mut self, max_capacity: usize) -> Result<(), BufferFull> {
+    pub fn ensure_capacity(&mut self, max_capacity: usize) -> Result<(), BufferFull> {
         self.make_contiguous();
         if self.end < self.storage.len() || self.storage.is_empty() {
             return Ok(());
--- a/crates/sedgerun/src/http1/head.rs
+++ b/crates/sedgerun/src/http1/head.rs
@@ -10,7 +10,7 @@
 /// Why a head cannot be used.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum HeadError {
-    /// It has more than [`MAX_FIELDS`] fields.
+    /// It has more than `MAX_FIELDS` fields.
     #[error("more than {MAX_FIELDS} header fields")]
     TooManyFields,
     /// It is not HTTP/1.
--- a/crates/sedgerun/src/http1/server.rs
+++ b/crates/sedgerun/src/http1/server.rs
@@ -66,7 +66,7 @@
     /// # Errors
     /// The client has disconnected, or the buffer is full.
     pub async fn receive(&mut self) -> Result<(), ReceiveError> {
-        if self.received.make_room(MAX_REQUEST_HEAD_BYTES).is_err() {
+        if self.received.ensure_capacity(MAX_REQUEST_HEAD_BYTES).is_err() {
             let is_full = self.received.unread().len() >= MAX_REQUEST_HEAD_BYTES;
             return Err(if is_full { ReceiveError::HeadTooLarge } else { ReceiveError::MemoryExhausted });
         }
--- a/crates/sedgerun/src/request_ids/mod.rs
+++ b/crates/sedgerun/src/request_ids/mod.rs
@@ -68,8 +68,10 @@
     }
 
     fn forget_old(&mut self, now: Instant) {
-        let is_old = |begun_at: Instant| now - begun_at > COLLECTION_TIME + RETENTION;
-        while self.ended.pop_front_if(|(begun_at, _)| is_old(*begun_at)).is_some() {}
+        let is_old = |(begun_at, _): &(Instant, HashSet<u64>)| now - *begun_at > COLLECTION_TIME + RETENTION;
+        while self.ended.front().is_some_and(is_old) {
+            self.ended.pop_front();
+        }
     }
 }
 
--- a/crates/sedgerun/src/request_ids/shared.rs
+++ b/crates/sedgerun/src/request_ids/shared.rs
@@ -2,7 +2,7 @@
 //!
 //! Both processes accept on one socket, so that a client that leaves one may send its request to the other. The file is
 //! a table of ids with the time until which each holds, by the monotonic clock of the machine, which both processes
-//! read and nobody can set. An id lies in one of the few slots of its bucket.
+//! read and nobody can set. An id lies in one of the few entries of its bucket.
 
 use rustix::time::{ClockId, clock_gettime};
 use std::fs::{File, OpenOptions};
@@ -13,19 +13,19 @@
 
 /// The file's name in `$TMPDIR`.
 const FILE_NAME: &str = "sedgerun-request-ids";
-/// Slots of a bucket.
-const SLOTS: usize = 8;
-/// Bytes of a slot: an id, and the time until which it holds in milliseconds.
-const SLOT_BYTES: usize = 16;
-const BUCKET_BYTES: usize = SLOTS * SLOT_BYTES;
+/// Entries of a bucket.
+const ENTRIES: usize = 8;
+/// Bytes of a entry: an id, and the time until which it holds in milliseconds.
+const ENTRY_BYTES: usize = 16;
+const BUCKET_BYTES: usize = ENTRIES * ENTRY_BYTES;
 /// Buckets of the file, which has 512 KiB.
 const BUCKETS: u64 = 4096;
 
 /// One id in the file.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Slot {
+struct Entry {
     id: u64,
-    /// When the id is free again, in milliseconds of the monotonic clock; 0: the slot was never used.
+    /// When the id is free again, in milliseconds of the monotonic clock; 0: the entry was never used.
     expires_at: u64,
 }
 
@@ -65,26 +65,27 @@
         let offset = bucket_of(id) * BUCKET_BYTES as u64;
         let mut bucket = [0; BUCKET_BYTES];
         self.file.read_exact_at(&mut bucket, offset)?;
-        let slots = bucket.chunks_exact(SLOT_BYTES).map(Slot::decode);
-        if slots.clone().any(|slot| slot.id == id && slot.expires_at > now) {
+        let entries = bucket.chunks_exact(ENTRY_BYTES).map(Entry::decode);
+        if entries.clone().any(|entry| entry.id == id && entry.expires_at > now) {
             return Ok(false);
         }
-        // The slot that is free for the longest, or else the next one to become free.
-        let oldest = slots.enumerate().min_by_key(|(_, slot)| slot.expires_at).map_or(0, |(index, _)| index);
-        let slot = Slot { id, expires_at: now + time.as_millis() as u64 };
-        self.file.write_all_at(&slot.encode(), offset + (oldest * SLOT_BYTES) as u64)?;
+        // The entry that is free for the longest, or else the next one to become free.
+        let oldest =
+            entries.enumerate().min_by_key(|(_, entry)| entry.expires_at).map_or(0, |(index, _)| index);
+        let entry = Entry { id, expires_at: now + time.as_millis() as u64 };
+        self.file.write_all_at(&entry.encode(), offset + (oldest * ENTRY_BYTES) as u64)?;
         Ok(true)
     }
 }
 
-impl Slot {
-    fn decode(bytes: &[u8]) -> Slot {
+impl Entry {
+    fn decode(bytes: &[u8]) -> Entry {
         let number = |bytes: &[u8]| bytes.iter().rev().fold(0, |number, byte| number << 8 | u64::from(*byte));
-        Slot { id: number(&bytes[..8]), expires_at: number(&bytes[8..]) }
+        Entry { id: number(&bytes[..8]), expires_at: number(&bytes[8..]) }
     }
 
-    fn encode(self) -> [u8; SLOT_BYTES] {
-        let mut bytes = [0; SLOT_BYTES];
+    fn encode(self) -> [u8; ENTRY_BYTES] {
+        let mut bytes = [0; ENTRY_BYTES];
         bytes[..8].copy_from_slice(&self.id.to_le_bytes());
         bytes[8..].copy_from_slice(&self.expires_at.to_le_bytes());
         bytes
--- a/crates/sedgerun/tests/floods.rs
+++ b/crates/sedgerun/tests/floods.rs
@@ -40,7 +40,8 @@
         while !over.load(Ordering::SeqCst) {
             let name = NAMES.fetch_add(1, Ordering::SeqCst);
             let request = get(&format!("{name:x}"), 1000);
-            let request = if name % 50 == 0 { request.replace("X-Chunk", "X-Chunks") } else { request };
+            let request =
+                if name.is_multiple_of(50) { request.replace("X-Chunk", "X-Chunks") } else { request };
             if connection.get_mut().write_all(request.as_bytes()).is_err() {
                 break;
             }
