management: a ban that could not be written is handed over later

Measured: with ENOSPC for 0.3 s the file is there 0.4 s later, in its recorded form. The test was not run on the code before, which has no second write.

--- a/crates/sedgerun/src/management/handover.rs
+++ b/crates/sedgerun/src/management/handover.rs
@@ -55,16 +55,17 @@
     }
 
     /// Writes the names of the disabled backends for the next process: to a file of its own first, then renamed
-    /// into place.
-    pub fn write(&self, names: &[String]) {
+    /// into place. Whether that succeeded.
+    pub fn write(&self, names: &[String]) -> bool {
         let text = write_bans(names);
         let path = &self.path;
         let own_path = path.with_extension(std::process::id().to_string());
         let written = std::fs::write(&own_path, &text).and_then(|()| std::fs::rename(&own_path, path));
-        match written {
+        match &written {
             Ok(()) => *self.last_text.borrow_mut() = text,
             Err(error) => tracing::warn!("mgmt: cannot hand over bans in {}: {error}", path.display()),
         }
+        written.is_ok()
     }
 
     /// The names that another process has written since the file was last read or written. A corrupt file is
--- a/crates/sedgerun/src/management/mod.rs
+++ b/crates/sedgerun/src/management/mod.rs
@@ -51,6 +51,8 @@
     /// The number of callers that are connected.
     callers: Rc<Cell<usize>>,
     handover: Option<OverrideHandover>,
+    /// The disabled backends have changed and could not be written for the next process yet.
+    is_handover_due: Cell<bool>,
 }
 
 /// A caller's place among those that may be connected at once, until it is dropped.
@@ -89,6 +91,7 @@
             ready: Cell::new(false),
             callers: Rc::default(),
             handover: OverrideHandover::in_temporary_folder(),
+            is_handover_due: Cell::new(false),
         })
     }
 
@@ -201,13 +204,14 @@
         self.dispatch.metrics.render(&self.config.classes, &gauges)
     }
 
-    /// Hands the disabled backends over to the next process.
+    /// Hands the disabled backends over to the next process. A write that fails is repeated by
+    /// [`follow_overrides`](Self::follow_overrides): what was answered YES holds over an upgrade.
     fn hand_over(&self) {
         let Some(handover) = &self.handover else { return };
         let backend_names = &self.dispatch.backends().names;
         let disabled = self.dispatch.disabled_by_head().into_iter();
         let names: Vec<String> = disabled.filter_map(|backend| backend_names.name(backend)).collect();
-        handover.write(&names);
+        self.is_handover_due.set(!handover.write(&names));
     }
 
     /// Takes over the backends that an earlier or later process of this head disabled, at the start and then as
@@ -215,7 +219,9 @@
     pub async fn follow_overrides(self: Rc<Self>) {
         let Some(handover) = &self.handover else { return };
         loop {
-            if let Some(names) = handover.read_if_changed() {
+            if self.is_handover_due.get() {
+                self.hand_over();
+            } else if let Some(names) = handover.read_if_changed() {
                 let backend_names = &self.dispatch.backends().names;
                 let disabled = names.iter().map(|name| backend_names.id_of(name)).collect();
                 self.dispatch.set_disabled_by_head(disabled);
--- a/crates/sedgerun/src/request_ids/shared.rs
+++ b/crates/sedgerun/src/request_ids/shared.rs
@@ -15,7 +15,7 @@
 const FILE_NAME: &str = "sedgerun-request-ids";
 /// Entries of a bucket.
 const ENTRIES: usize = 8;
-/// Bytes of a entry: an id, and the time until which it holds in milliseconds.
+/// Bytes of an entry: an id, and the time until which it holds in milliseconds.
 const ENTRY_BYTES: usize = 16;
 const BUCKET_BYTES: usize = ENTRIES * ENTRY_BYTES;
 /// Buckets of the file, which has 512 KiB.
--- a/crates/sedgerun/tests/failing_calls.rs
+++ b/crates/sedgerun/tests/failing_calls.rs
@@ -91,3 +91,33 @@
     let faults = [(Call::Wait, 0, 500), (Call::ShortRead, 7, 500), (Call::ShortWrite, 5, 500)];
     every_request_is_answered_with("interrupted and short", 10, &faults);
 }
+
+/// Guards against a ban that was answered YES and is gone with the process, as its folder could not be written just
+/// then.
+#[test]
+fn a_ban_that_could_not_be_written_at_once_is_handed_over_later() {
+    let backend = StandIn::start("s-1", 3, Duration::ZERO, Fault::None);
+    let discovery = Discovery::start(vec![backend.entry("ready")]);
+    let mut config = config(discovery.address);
+    config["mgmt"] = json!("127.0.0.1:0");
+    config["known"] = json!({"generation": 1, "reset": true, "instances": [backend.entry("ready")]});
+    let folder = std::env::temp_dir().join(format!("sedgerun-bans-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let shim = Shim::new(11);
+    let [preload, control] = shim.environment();
+    let folder_text = folder.to_str().expect("a path");
+    let environment =
+        [(preload.0, preload.1.as_str()), (control.0, control.1.as_str()), ("TMPDIR", folder_text)];
+    let program = Program::start_with(&config, None, &environment);
+    shim.fail(Call::FileWrite, errno::ENOSPC, 1000);
+    assert!(program.call("disable-server s-1").starts_with("YES"));
+    thread::sleep(Duration::from_millis(300));
+    let faults = shim.faults();
+    shim.heal();
+    thread::sleep(Duration::from_millis(400));
+    let handed_over = std::fs::read_to_string(folder.join("sedgerun-bans")).unwrap_or_default();
+    assert!(faults > 0, "no fault was injected");
+    assert_eq!(handed_over, "sedgerun bans 1\ns-1\nend 1\n");
+    drop(program);
+    let _ = std::fs::remove_dir_all(folder);
+}
--- a/crates/sedgerun/tests/shim/system_calls.c
+++ b/crates/sedgerun/tests/shim/system_calls.c
@@ -155,6 +155,14 @@
     return write_to_file(real, file, bytes, length, at);
 }
 
+ssize_t write(int file, const void *bytes, size_t length) {
+    REAL(ssize_t, "write", int, const void *, size_t);
+    struct stat status;
+    if (words()[2 + 2 * FILE_WRITE] && fstat(file, &status) == 0 && S_ISREG(status.st_mode))
+        FAIL_IF(FILE_WRITE);
+    return real(file, bytes, length);
+}
+
 int fdatasync(int file) {
     REAL(int, "fdatasync", int);
     FAIL_IF(FILE_SYNC);
