--- a/crates/sedgerun/src/admin/connection.rs
+++ b/crates/sedgerun/src/admin/connection.rs
@@ -65,7 +65,7 @@
         let _ = stream.set_nodelay(true);
         let mut connection = ServerConnection::new(stream, &self.request_memory);
         while self.serve_request(&mut connection).await.is_ok() {}
-        close_sending(&connection.stream);
+        close_sending(&mut connection.stream).await;
         let _ = tokio::time::timeout(LINGER_TIME, discard(&connection.stream, |_| {})).await;
     }
 
--- a/crates/sedgerun/src/frontend/http/accept.rs
+++ b/crates/sedgerun/src/frontend/http/accept.rs
@@ -65,7 +65,7 @@
 
     /// Refuses a client that no other gives way to: with a 503 while there are descriptors to spare, and otherwise by
     /// closing the connection unread.
-    fn refuse(self: &Rc<Self>, stream: TcpStream) {
+    fn refuse(self: &Rc<Self>, mut stream: TcpStream) {
         let descriptors = self.dispatch.backends().descriptors();
         let is_short = descriptors.available() <= self.config.resource_limits.descriptors_for_backends;
         if is_short || self.refusals.get() >= MAX_REFUSALS {
@@ -82,7 +82,7 @@
                 let written = write_all(&stream, head.as_bytes(), text.as_bytes(), LINGER_TIME, |_| {});
                 let _ = written.await;
             }
-            linger(&stream).await;
+            linger(&mut stream).await;
             frontend.refusals.set(frontend.refusals.get() - 1);
             drop(permit);
         });
--- a/crates/sedgerun/src/frontend/http/serve.rs
+++ b/crates/sedgerun/src/frontend/http/serve.rs
@@ -204,17 +204,17 @@
         self.write(b"\r\n", &[]).await
     }
 
-    async fn linger(&self) -> CloseReason {
+    async fn linger(&mut self) -> CloseReason {
         self.state.enter(Phase::Lingering);
-        linger(&self.connection.stream).await;
+        linger(&mut self.connection.stream).await;
         CloseReason::Answered
     }
 }
 
 /// Ends the sending side and waits for the client to close its own. Closing a socket with unread bytes resets the
 /// connection, which can lose a response in transit; so bytes that arrive now are discarded.
-pub(super) async fn linger(stream: &TcpStream) {
-    close_sending(stream);
+pub(super) async fn linger(stream: &mut TcpStream) {
+    close_sending(stream).await;
     let _ = tokio::time::timeout(LINGER_TIME, discard(stream, |_| {})).await;
 }
 
