Limits: request bodies have an eighth of the memory again from 48 MB on

Cause: half of the bytes for bodies went below 64 MB, where the sum asks for it below 48 MB alone.

Change: a threshold of its own.

--- a/crates/sedgerun/src/resource_limits.rs
+++ b/crates/sedgerun/src/resource_limits.rs
@@ -8,8 +8,10 @@
 const LIST_BYTES_PER_MIB: usize = 1 << 16;
 /// Bytes of text to an entry, below which the bound on entries is met before the one on bytes.
 const LIST_BYTES_PER_ENTRY: usize = 256;
-/// Memory in MiB below which a head has half as many entries of the list, and bytes of request bodies, for each MiB.
-const SMALL_MEMORY_MIB: usize = 64;
+/// Memory in MiB below which a head has half as many entries of the list for each MiB.
+const FULL_LIST_MIB: usize = 64;
+/// Memory in MiB below which a head has half as many bytes for request bodies for each MiB.
+const FULL_BODIES_MIB: usize = 48;
 /// Entries that every head has memory for.
 const MIN_LIST_ENTRIES: usize = 4096;
 
@@ -108,8 +110,9 @@
         let most_clients = (sockets * 5 / 8).min(CLIENTS_PER_MIB * memory_mb);
         let max_open_requests = OPEN_REQUESTS_PER_MIB * memory_mb;
         let list_bytes = (memory_mb * LIST_BYTES_PER_MIB).max(MIN_LIST_BYTES);
-        let small_divisor = if memory_mb < SMALL_MEMORY_MIB { 2 } else { 1 };
-        let list_entries = (list_bytes / LIST_BYTES_PER_ENTRY / small_divisor).max(MIN_LIST_ENTRIES);
+        let entries_divisor = if memory_mb < FULL_LIST_MIB { 2 } else { 1 };
+        let bodies_divisor = if memory_mb < FULL_BODIES_MIB { 2 } else { 1 };
+        let list_entries = (list_bytes / LIST_BYTES_PER_ENTRY / entries_divisor).max(MIN_LIST_ENTRIES);
         let ninep_clients = (sockets / 6).min(memory_mb).max(1);
         ResourceLimits {
             idle_client_threshold: clients,
@@ -119,7 +122,7 @@
             response_body_bytes: memory_mb << 16,
             max_whole_response_bytes: memory_mb << 14,
             response_head_bytes: max_open_requests * (MAX_HEAD_BYTES - RECEIVE_BUFFER_BYTES),
-            request_body_bytes: (memory_mb << 17) / small_divisor,
+            request_body_bytes: (memory_mb << 17) / bodies_divisor,
             request_head_bytes: memory_mb << 15,
             request_ids: memory_mb * REQUEST_IDS_PER_MIB,
             admin_request_bytes: ADMIN_REQUEST_BYTES,
