HTTP: a burst of clients does not wait a second for its connections

Cause, traced: the listener had the standard library's backlog of 128. Clients of a real burst wait the same second.

Change: a backlog of 1,024.

--- a/crates/sedgerun/src/frontend/http/accept.rs
+++ b/crates/sedgerun/src/frontend/http/accept.rs
@@ -12,8 +12,11 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
+/// Connections that wait to be accepted. Past it the system drops a client's first packet, which is sent again a second
+/// later.
+const BACKLOG: u32 = 1024;
 /// Clients that are being refused at once, at the most.
 const MAX_REFUSALS: usize = 64;
 /// Delay before the next accept after a failed one.
@@ -24,7 +27,11 @@
 /// # Errors
 /// Errors of the operating system, such as an address that is in use.
 pub async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
-    TcpListener::bind(address).await
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    // A head that is started again takes the address of the one before.
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
 }
 
 impl HttpFrontend {
