dispatch: the time of writing a request does not count, and no other is added

Cause: an attempt whose connection came up late had half of its allowed time anew for the response, although its backend was told what was left; only the time that a request takes to be written was meant not to count.

Change: the timeout moves by the time in the stage of sending.

Measured: transfers has the exact moment (an objective and 499 ms for 499 ms of writing); slow_requests, slow_transfers, disconnected_clients pass.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -128,14 +128,16 @@
     pub fn attempt_advanced(&mut self, now: Micros, id: RequestId, attempt: u8, stage: AttemptStage) {
         let Some(in_flight) = self.attempts.get_mut(&(id, attempt)) else { return };
         let request_end = self.requests.get(&id).map(|request| request.decision_deadline);
-        in_flight.stage = stage;
+        let time_in_stage = now.saturating_sub(in_flight.stage_began_at);
+        let before = std::mem::replace(&mut in_flight.stage, stage);
+        in_flight.stage_began_at = now;
         let timeout_at = match stage {
             AttemptStage::Connecting => return,
             AttemptStage::Sending | AttemptStage::BackendReading | AttemptStage::ReceivingResponse => None,
-            // A request that took long to write leaves its backend half of the allowed time for the response.
+            // The time of writing the request does not count.
             AttemptStage::AwaitingResponse => {
-                let least = now + in_flight.allowed_time / 2;
-                Some(least.max(in_flight.sent_at + in_flight.allowed_time))
+                let writing_time = if before == AttemptStage::Sending { time_in_stage } else { 0 };
+                Some(in_flight.sent_at + in_flight.allowed_time + writing_time)
             }
         };
         // Whoever waits for the response of a transfer waits until the request's end; a request that has ended has
@@ -145,9 +147,9 @@
             (None, Some(end)) => Some(end),
             (at, None) => at.or(in_flight.timeout_at),
         };
-        let before = std::mem::replace(&mut in_flight.timeout_at, timeout_at);
+        let timeout_before = std::mem::replace(&mut in_flight.timeout_at, timeout_at);
         let kind = TimerKind::AttemptTimeout(id, attempt);
-        before.inspect(|at| self.timers.cancel(*at, kind));
+        timeout_before.inspect(|at| self.timers.cancel(*at, kind));
         timeout_at.inspect(|at| self.timers.set(*at, kind));
     }
 
@@ -273,6 +275,7 @@
             backend,
             sent_at: now,
             stage: AttemptStage::Connecting,
+            stage_began_at: now,
             timeout_at: may_send.then_some(deadline),
             allowed_time: deadline.saturating_sub(now),
         };
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -128,6 +128,8 @@
     pub backend: BackendId,
     pub sent_at: Micros,
     pub stage: AttemptStage,
+    /// When the stage began.
+    pub stage_began_at: Micros,
     /// When its timer expires; `None` while a transfer makes progress, which only the request's own time ends.
     pub timeout_at: Option<Micros>,
     /// How long the controller lets the attempt take.
--- a/crates/dispatch/tests/transfers.rs
+++ b/crates/dispatch/tests/transfers.rs
@@ -111,8 +111,10 @@
     let mut dispatcher = with_attempt();
     dispatcher.attempt_advanced(NOW + MS, 0, 0, AttemptStage::Sending);
     dispatcher.attempt_advanced(NOW + 500 * MS, 0, 0, AttemptStage::AwaitingResponse);
-    assert_eq!(run_until(&mut dispatcher, NOW + 500 * MS + OBJECTIVE / 2 - 1), (vec![], 0));
-    let (responses, _) = run_until(&mut dispatcher, NOW + 500 * MS + OBJECTIVE / 2);
+    // A millisecond went by before the first byte was written; it counts, and the writing does not.
+    let timeout_at = NOW + OBJECTIVE + 499 * MS;
+    assert_eq!(run_until(&mut dispatcher, timeout_at - 1), (vec![], 0));
+    let (responses, _) = run_until(&mut dispatcher, timeout_at);
     assert_eq!(responses, [FinalResponse::Failed]);
 }
 
