--- a/crates/sedgerun/tests/peers/mod.rs
+++ b/crates/sedgerun/tests/peers/mod.rs
@@ -2,14 +2,19 @@
 //! slowly, and steady clients beside them, whose every request has to get an answer.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+mod described_backend;
+
+#[allow(unused_imports, reason = "each test file uses a part")]
+pub use described_backend::{Described, DescribedBackend, Given};
+
 use crate::standin::{Program, get, read_http, write_request};
 use serde_json::{Value, json};
 use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Time between the requests of a steady client.
 const STEADY_INTERVAL: Duration = Duration::from_millis(50);
@@ -170,6 +175,27 @@
     read_response(&mut BufReader::new(stream))
 }
 
+/// A response with the times of its first and its last byte, counted from the request.
+#[derive(Debug)]
+pub struct TimedResponse {
+    pub response: ReadResponse,
+    pub first_byte: Duration,
+    pub last_byte: Duration,
+}
+
+/// As [`exchange`], with the times.
+pub fn timed_exchange(address: SocketAddr, request: &[u8], timeout: Duration) -> Option<TimedResponse> {
+    let mut stream = TcpStream::connect(address).ok()?;
+    stream.set_read_timeout(Some(timeout)).ok()?;
+    stream.set_write_timeout(Some(timeout)).ok()?;
+    let begun = Instant::now();
+    stream.write_all(request).ok()?;
+    stream.peek(&mut [0]).ok()?;
+    let first_byte = begun.elapsed();
+    let response = read_response(&mut BufReader::new(stream))?;
+    Some(TimedResponse { response, first_byte, last_byte: begun.elapsed() })
+}
+
 /// Reads a response in any framing.
 pub fn read_response(reader: &mut BufReader<TcpStream>) -> Option<ReadResponse> {
     use std::io::BufRead;
@@ -226,6 +252,25 @@
     pub refused: AtomicU64,
     /// Never answered: the connection ended, or the answer came too late.
     pub lost: AtomicU64,
+    /// How long each answer took.
+    latencies: Mutex<Vec<Duration>>,
+}
+
+impl SteadyCounts {
+    /// The numbers served, refused and lost.
+    pub fn ends(&self) -> (u64, u64, u64) {
+        let [served, refused, lost] =
+            [&self.served, &self.refused, &self.lost].map(|count| count.load(Ordering::SeqCst));
+        (served, refused, lost)
+    }
+
+    /// The time within which so many answers of a hundred came.
+    pub fn percentile(&self, of_hundred: usize) -> Duration {
+        let mut latencies = self.latencies.lock().expect("latencies").clone();
+        latencies.sort_unstable();
+        let index = latencies.len() * of_hundred / 100;
+        latencies.get(index).or(latencies.last()).copied().unwrap_or(Duration::MAX)
+    }
 }
 
 /// Clients that each send a small read at an interval, on a connection that they keep or on a new one each time.
@@ -274,8 +319,10 @@
             continue;
         };
         let request = get("b1", 1000);
+        let begun = Instant::now();
         let sent = connection.get_mut().write_all(request.as_bytes());
         let response = sent.ok().and_then(|()| read_response(&mut connection));
+        counts.latencies.lock().expect("latencies").push(begun.elapsed());
         let Some(response) = response else {
             // The close of a kept connection may cross a request; the client sends it once more then.
             let again = is_kept.then(|| exchange(address, request.as_bytes(), ANSWER_TIME)).flatten();
