Soak: what backends gave beside what clients got, floods and slow readers

Now clients draw the size, framing, lumps and writing time of a response against their own wait; three clients write at full speed without reading (five kinds); some clients read slowly. The record has what a backend gave and what its client got, with the times of first and last byte: a response that began in time and is timed by its first byte is neither refused nor cut, and its rest is held back for 2 s at the most, unless the process was killed by the test.

--- a/crates/sedgerun/tests/soak/backend.rs
+++ b/crates/sedgerun/tests/soak/backend.rs
@@ -1,6 +1,7 @@
 //! A backend that records each request that it receives whole, and treats some as the run's draw says.
 
-use crate::record::Record;
+use crate::peers::{Described, Framing, write_described};
+use crate::record::{Record, Response};
 use crate::scenario::{Behaviour, Draw, TROUBLES};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -73,7 +74,7 @@
             }
             self.record.ran(&request.id, request.begun_at, request.told);
             thread::sleep(pause);
-            respond(&stream, &request, behaviour)?;
+            self.respond(&stream, &request, behaviour)?;
         }
     }
 }
@@ -83,12 +84,13 @@
     id: String,
     begun_at: Instant,
     told: Duration,
-    /// Bytes that its client wants.
-    answer_bytes: usize,
+    /// The response that its client asks for.
+    asked: Described,
 }
 
 fn read_request(reader: &mut BufReader<TcpStream>, slowly: bool) -> Option<Received> {
-    let (mut id, mut told, mut length, mut answer_bytes) = (String::new(), 0, 0, 5);
+    let (mut id, mut told, mut length) = (String::new(), 0, 0);
+    let mut asked = None;
     let mut begun_at = None;
     loop {
         let mut line = String::new();
@@ -100,9 +102,7 @@
         if line.is_empty() {
             break;
         }
-        if let Some((_, query)) = line.split_once("bytes=") {
-            answer_bytes = query.split(' ').next()?.parse().ok()?;
-        }
+        asked.get_or_insert_with(|| Described::of_request_line(line));
         let Some((name, value)) = line.split_once(": ") else { continue };
         match name.to_ascii_lowercase().as_str() {
             "request-id" => value.clone_into(&mut id),
@@ -120,41 +120,43 @@
     } else {
         reader.read_exact(&mut body).ok()?;
     }
-    Some(Received { id, begun_at: begun_at?, told: Duration::from_millis(told), answer_bytes })
+    Some(Received { id, begun_at: begun_at?, told: Duration::from_millis(told), asked: asked? })
 }
 
-/// Writes a response as the behaviour says; `None` where the connection ends.
-fn respond(mut stream: &TcpStream, request: &Received, behaviour: Behaviour) -> Option<()> {
-    let body = body_of(&request.id, request.answer_bytes);
-    let length = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
-    match behaviour {
-        Behaviour::Silent => {
-            // Until the head gives the attempt up.
-            let _ = stream.set_read_timeout(Some(Duration::from_secs(10)));
-            let _ = stream.read(&mut [0; 1]);
-            None
-        }
-        Behaviour::NoLength => {
-            let _ = stream.write_all(&[b"HTTP/1.1 200 OK\r\n\r\n", &body[..]].concat());
-            None
-        }
-        Behaviour::Cut | Behaviour::Reset => {
-            let _ = stream.write_all(&[length.as_bytes(), &body[..body.len() / 2]].concat());
-            if behaviour == Behaviour::Reset {
-                let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
+impl Shared {
+    /// Writes a response as the behaviour says; `None` where the connection ends.
+    fn respond(&self, mut stream: &TcpStream, request: &Received, behaviour: Behaviour) -> Option<()> {
+        let body = body_of(&request.id, request.asked.bytes);
+        let mut asked = request.asked;
+        match behaviour {
+            Behaviour::Silent => {
+                // Until the head gives the attempt up.
+                let _ = stream.set_read_timeout(Some(Duration::from_secs(10)));
+                let _ = stream.read(&mut [0; 1]);
+                return None;
             }
-            None
-        }
-        Behaviour::SlowWrite => {
-            stream.write_all(length.as_bytes()).ok()?;
-            for part in body.chunks((body.len() / 5).max(1)) {
-                thread::sleep(Duration::from_millis(40));
-                stream.write_all(part).ok()?;
+            Behaviour::Cut | Behaviour::Reset => {
+                let length = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+                let _ = stream.write_all(&[length.as_bytes(), &body[..body.len() / 2]].concat());
+                if behaviour == Behaviour::Reset {
+                    let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
+                }
+                return None;
+            }
+            Behaviour::NoLength => asked.framing = Framing::Close,
+            Behaviour::SlowWrite => {
+                asked.lumps = asked.lumps.max(5);
+                asked.written_over = asked.written_over.max(Duration::from_millis(200));
             }
-            Some(())
+            Behaviour::Sound | Behaviour::SlowRead | Behaviour::Rejects => {}
         }
-        Behaviour::Sound | Behaviour::SlowRead | Behaviour::Rejects => {
-            stream.write_all(&[length.as_bytes(), &body].concat()).ok()
+        let response = Response { bytes: body.len(), has_length: asked.framing == Framing::Length };
+        self.record.gives(&request.id, response);
+        let on_given = |bytes| self.record.gave(&request.id, bytes);
+        match write_described(stream, asked, &body, on_given) {
+            Ok(()) => self.record.gave_all(&request.id),
+            Err(_) => self.record.found_closed(&request.id),
         }
+        (asked.framing != Framing::Close).then_some(())
     }
 }
--- a/crates/sedgerun/tests/soak/heads.rs
+++ b/crates/sedgerun/tests/soak/heads.rs
@@ -52,6 +52,7 @@
         let ended = self.state.lock().expect("a head").program.take();
         if let Some(program) = ended {
             check_memory(&program, scenario, record);
+            record.killed();
             drop(program);
         }
         record.count("restarts");
--- a/crates/sedgerun/tests/soak/main.rs
+++ b/crates/sedgerun/tests/soak/main.rs
@@ -22,9 +22,10 @@
 use heads::Head;
 use peers::{ahead, crowd, half_body, half_head};
 use record::Record;
-use scenario::{Crowd, Draw, Scenario};
+use scenario::{Crowd, Draw, Flood, Scenario};
 use serde_json::{Value, json};
-use standin::{Discovery, config};
+use standin::{Discovery, config, get, write_request};
+use std::io::Write;
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -35,6 +36,8 @@
 const RUN_TIME: Duration = Duration::from_secs(5);
 const HEADS: u64 = 2;
 const BACKENDS: u64 = 4;
+/// Clients at full speed in a run that has them.
+const FLOODERS: usize = 3;
 /// The seeds that CI plays.
 const CI_SEEDS: [u64; 4] = [2, 3, 6, 11];
 
@@ -70,6 +73,32 @@
     }
 }
 
+/// A client at full speed that reads nothing, for as long as the run lasts.
+fn run_flood(kind: Flood, head: &Head, over: &AtomicBool) {
+    let chunked = write_request("b1", 1000).replace("Content-Length: 4", "Transfer-Encoding: chunked");
+    let (first, then) = match kind {
+        Flood::EmptyLines => (String::new(), "\r\n"),
+        Flood::UnsoundHeads => (String::new(), "x\r\n\r\n"),
+        Flood::TinyChunks => (chunked.trim_end_matches("body").to_owned(), "1\r\nx\r\n"),
+        Flood::EndlessHead => (get("b1", 1000).trim_end_matches("\r\n").to_owned(), "\r\nX-Field: a"),
+        Flood::HealthChecks => (String::new(), "GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n"),
+    };
+    let then = then.repeat(16 * 1024 / then.len());
+    while !over.load(Ordering::SeqCst) {
+        let Some(address) = head.address() else {
+            thread::sleep(Duration::from_millis(50));
+            continue;
+        };
+        let Ok(mut stream) = TcpStream::connect(address) else { continue };
+        let _ = stream.set_write_timeout(Some(Duration::from_millis(100)));
+        if stream.write_all(first.as_bytes()).is_err() {
+            continue;
+        }
+        let is_open = |result: std::io::Result<usize>| result.is_ok_and(|bytes| bytes > 0);
+        while !over.load(Ordering::SeqCst) && is_open(stream.write(then.as_bytes())) {}
+    }
+}
+
 /// Plays one seed; what of it breaks a rule.
 fn play(seed: u64) -> Vec<String> {
     let scenario = Scenario::draw(seed);
@@ -100,6 +129,10 @@
             let (heads, over) = (&heads, &over);
             scope.spawn(move || run_crowd(kind, heads, size, over));
         }
+        for _ in 0..scenario.flood.map_or(0, |_| FLOODERS) {
+            let (kind, head, over) = (scenario.flood, &heads[0], &over);
+            scope.spawn(move || kind.map(|kind| run_flood(kind, head, over)));
+        }
         thread::sleep(Duration::from_millis(800));
         if let Some(seconds) = scenario.clock_step {
             heads[1].shim.step_clock(seconds);
@@ -116,6 +149,7 @@
         over.store(true, Ordering::SeqCst);
     });
     heads.iter().for_each(|head| head.check(&scenario, &record));
+    record.compare();
     if record.counted("served") == 0 {
         record.violation("nothing was served".to_owned());
     }
--- a/crates/sedgerun/tests/soak/record.rs
+++ b/crates/sedgerun/tests/soak/record.rs
@@ -10,6 +10,12 @@
 const DEADLINE_SLACK: Duration = Duration::from_millis(150);
 /// Time for the test's own threads on a busy machine.
 const SCHEDULING_SLACK: Duration = Duration::from_millis(60);
+/// A response over so many bytes is timed by its first byte.
+pub const LARGE_BYTES: usize = 64 * 1024;
+/// A response must have begun so long before the end of its client's wait to be passed on.
+const BEGIN_SLACK: Duration = Duration::from_millis(200);
+/// What a backend has given is not held back for longer.
+const HOLD_BACK: Duration = Duration::from_secs(2);
 
 /// What is known of one request.
 #[derive(Clone, Debug)]
@@ -22,6 +28,50 @@
     left_at: Option<Instant>,
     /// How often it was received whole by backends.
     runs: u32,
+    /// What a backend gave of the response, in the last attempt in which a sound one began.
+    given: Option<Given>,
+    /// What the client got.
+    got: Option<Got>,
+}
+
+/// A response that a backend begins to give.
+#[derive(Clone, Copy, Debug)]
+pub struct Response {
+    pub bytes: usize,
+    /// Its head tells its length.
+    pub has_length: bool,
+}
+
+impl Response {
+    /// Whether it may be complete after its client's wait, if it has begun before.
+    pub fn is_timed_by_first_byte(self) -> bool {
+        self.bytes > LARGE_BYTES || !self.has_length
+    }
+}
+
+/// What a backend has given of a response.
+#[derive(Clone, Copy, Debug)]
+struct Given {
+    response: Response,
+    began_at: Instant,
+    last_byte_at: Instant,
+    bytes: usize,
+    is_whole: bool,
+    /// It found its connection closed before its last byte.
+    is_cut: bool,
+}
+
+/// What a client has got.
+#[derive(Clone, Copy, Debug)]
+pub struct Got {
+    /// The status is 200.
+    pub is_served: bool,
+    /// The body came to its end.
+    pub is_whole: bool,
+    pub first_byte_at: Instant,
+    pub last_byte_at: Instant,
+    /// The client read with pauses.
+    pub reads_slowly: bool,
 }
 
 /// The record of one run.
@@ -30,12 +80,22 @@
     requests: Mutex<HashMap<String, Request>>,
     violations: Mutex<Vec<String>>,
     counts: Mutex<HashMap<&'static str, u64>>,
+    /// When processes were killed.
+    kills: Mutex<Vec<Instant>>,
 }
 
 impl Record {
     /// A client is about to send a request.
     pub fn sending(&self, id: &str, timeout: Duration, may_repeat: bool) {
-        let request = Request { sent_at: Instant::now(), timeout, may_repeat, left_at: None, runs: 0 };
+        let request = Request {
+            sent_at: Instant::now(),
+            timeout,
+            may_repeat,
+            left_at: None,
+            runs: 0,
+            given: None,
+            got: None,
+        };
         self.requests.lock().expect("a record").insert(id.to_owned(), request);
     }
 
@@ -66,6 +126,69 @@
         }
     }
 
+    /// A backend begins to write a sound response.
+    pub fn gives(&self, id: &str, response: Response) {
+        let now = Instant::now();
+        self.change(id, |request| {
+            let (began_at, last_byte_at) = (now, now);
+            request.given =
+                Some(Given { response, began_at, last_byte_at, bytes: 0, is_whole: false, is_cut: false });
+        });
+    }
+
+    /// A backend has written so many bytes of its body.
+    pub fn gave(&self, id: &str, bytes: usize) {
+        self.change_given(id, |given| {
+            given.bytes += bytes;
+            given.last_byte_at = Instant::now();
+        });
+    }
+
+    /// A backend has written its response to the last byte.
+    pub fn gave_all(&self, id: &str) {
+        self.change_given(id, |given| given.is_whole = true);
+    }
+
+    /// A backend found its connection closed within its response.
+    pub fn found_closed(&self, id: &str) {
+        self.change_given(id, |given| given.is_cut = true);
+    }
+
+    /// A client has got an answer.
+    pub fn got(&self, id: &str, got: Got) {
+        self.change(id, |request| request.got = Some(got));
+    }
+
+    /// A process is killed.
+    pub fn killed(&self) {
+        self.kills.lock().expect("a record").push(Instant::now());
+    }
+
+    fn change(&self, id: &str, change: impl FnOnce(&mut Request)) {
+        if let Some(request) = self.requests.lock().expect("a record").get_mut(id) {
+            change(request);
+        }
+    }
+
+    fn change_given(&self, id: &str, change: impl FnOnce(&mut Given)) {
+        self.change(id, |request| {
+            if let Some(given) = &mut request.given {
+                change(given);
+            }
+        });
+    }
+
+    /// Compares what backends gave with what their clients got, at the end of a run.
+    pub fn compare(&self) {
+        let requests = self.requests.lock().expect("a record");
+        let kills = self.kills.lock().expect("a record");
+        let faults = requests.iter().filter_map(|(id, request)| {
+            let fault = request.transfer_fault(&kills)?;
+            Some(format!("{id}: {fault}: {}", request.times()))
+        });
+        self.violations.lock().expect("a record").extend(faults);
+    }
+
     /// Something that breaks a rule.
     pub fn violation(&self, what: String) {
         self.violations.lock().expect("a record").push(what);
@@ -89,3 +212,49 @@
         (counts, self.violations.lock().expect("a record").clone())
     }
 }
+
+impl Request {
+    /// What is wrong with the transfer of a sound response; `None` for one that is sound, or that is nobody's fault
+    /// but the client's or the signal's.
+    fn transfer_fault(&self, kills: &[Instant]) -> Option<&'static str> {
+        let (given, got) = (self.given?, self.got?);
+        let was_killed = kills.iter().any(|at| *at > self.sent_at && *at < got.last_byte_at + HOLD_BACK);
+        if self.left_at.is_some() || was_killed {
+            return None;
+        }
+        let began_in_time = given.began_at + BEGIN_SLACK < self.sent_at + self.timeout;
+        let answered_before = given.began_at + SCHEDULING_SLACK > got.last_byte_at;
+        let is_owed = given.response.is_timed_by_first_byte() && began_in_time && !answered_before;
+        if is_owed && !got.is_served {
+            return Some("refused while its response was coming");
+        }
+        if got.is_served && !got.is_whole {
+            return Some("a sound response was cut");
+        }
+        if is_owed && given.is_cut {
+            return Some("a backend was cut off");
+        }
+        if !got.reads_slowly && got.is_whole && got.is_served {
+            let is_late = got.last_byte_at > given.last_byte_at + HOLD_BACK;
+            return is_late.then_some("the rest of a response was held back");
+        }
+        None
+    }
+
+    fn times(&self) -> String {
+        let since = |at: Instant| at.saturating_duration_since(self.sent_at).as_millis();
+        let given = self.given.map(|given| {
+            let Given { response, bytes, is_whole, is_cut, .. } = given;
+            let (first, last) = (since(given.began_at), since(given.last_byte_at));
+            format!(
+                "{response:?} given from {first} to {last} ms, {bytes} bytes, whole {is_whole}, cut {is_cut}"
+            )
+        });
+        let got = self.got.map(|got| {
+            let (first, last) = (since(got.first_byte_at), since(got.last_byte_at));
+            format!("got from {first} to {last} ms, served {}, whole {}", got.is_served, got.is_whole)
+        });
+        let (given, got) = (given.unwrap_or_default(), got.unwrap_or_default());
+        format!("wait {} ms, {} runs; {given}; {got}", self.timeout.as_millis(), self.runs)
+    }
+}
--- a/crates/sedgerun/tests/soak/scenario.rs
+++ b/crates/sedgerun/tests/soak/scenario.rs
@@ -78,6 +78,16 @@
     Idle,
 }
 
+/// What clients that write at full speed without reading send again and again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Flood {
+    EmptyLines,
+    UnsoundHeads,
+    TinyChunks,
+    EndlessHead,
+    HealthChecks,
+}
+
 /// One run.
 #[derive(Debug)]
 pub struct Scenario {
@@ -96,6 +106,12 @@
     /// A step of the wall clock of one head, in seconds.
     pub clock_step: Option<i64>,
     pub clients: usize,
+    /// Three clients at full speed at the first head, for the whole run.
+    pub flood: Option<Flood>,
+    /// How many requests of a hundred ask for a response whose writing outlasts its client's wait.
+    pub long_of_hundred: u64,
+    /// How many requests of a hundred are read slowly by their client.
+    pub slow_reader_of_hundred: u64,
 }
 
 impl Scenario {
@@ -121,6 +137,18 @@
             failing_calls: draw.chance(40),
             clock_step: draw.one_of(&[None, None, Some(5), Some(-5), Some(3600), Some(-3600)]),
             clients: draw.one_of(&[6, 12, 20]),
+            flood: draw.one_of(&[
+                None,
+                None,
+                None,
+                Some(Flood::EmptyLines),
+                Some(Flood::UnsoundHeads),
+                Some(Flood::TinyChunks),
+                Some(Flood::EndlessHead),
+                Some(Flood::HealthChecks),
+            ]),
+            long_of_hundred: draw.one_of(&[0, 10, 25]),
+            slow_reader_of_hundred: draw.one_of(&[0, 0, 10]),
         }
     }
 
