net: a turn begins anew where the task has waited, so that small requests pay nothing

Behind a short read tokio waits at once, without another read, and the turn was not begun anew: each connection yielded once in eight operations. One turn a socket now, which begins anew whenever the socket is not ready.

--- a/crates/net/src/async_stream.rs
+++ b/crates/net/src/async_stream.rs
@@ -29,10 +29,10 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let stream = self.get_mut();
-        ready!(poll_turn(&stream.read_turn, context));
+        ready!(poll_turn(&stream.turn, context));
         let filled_before = buffer.filled().len();
         let result = Pin::new(&mut stream.socket).poll_read(context, buffer);
-        count(&stream.read_turn, result.is_ready(), buffer.filled().len() - filled_before);
+        count(&stream.turn, result.is_ready(), buffer.filled().len() - filled_before);
         result
     }
 }
@@ -40,10 +40,10 @@
 impl AsyncWrite for Stream {
     fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
         let stream = self.get_mut();
-        ready!(poll_turn(&stream.write_turn, context));
+        ready!(poll_turn(&stream.turn, context));
         let result = Pin::new(&mut stream.socket).poll_write(context, bytes);
         let written = if let Poll::Ready(Ok(written)) = result { written } else { 0 };
-        count(&stream.write_turn, result.is_ready(), written);
+        count(&stream.turn, result.is_ready(), written);
         result
     }
 
--- a/crates/net/src/datagrams.rs
+++ b/crates/net/src/datagrams.rs
@@ -34,9 +34,9 @@
     /// # Errors
     /// Those of the operating system: a peer's port may be closed.
     pub async fn receive_from(&self, buffer: &mut [u8]) -> io::Result<(usize, SocketAddr)> {
-        self.turn.wait().await;
+        self.turn.yield_if_over().await;
         self.turn.spend(0);
-        self.socket.recv_from(buffer).await
+        self.turn.wait_for(self.socket.recv_from(buffer)).await
     }
 
     /// Sends a datagram.
--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -55,9 +55,9 @@
     /// # Errors
     /// Descriptors or memory are exhausted, or the peer has disconnected already: all are temporary.
     pub async fn accept(&self) -> io::Result<(Stream, SocketAddr)> {
-        self.turn.wait().await;
+        self.turn.yield_if_over().await;
         self.turn.spend(0);
-        let (socket, peer) = self.socket.accept().await?;
+        let (socket, peer) = self.turn.wait_for(self.socket.accept()).await?;
         Ok((Stream::new(socket), peer))
     }
 }
--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -36,8 +36,7 @@
 #[derive(Debug)]
 pub struct Stream {
     pub(crate) socket: TcpStream,
-    pub(crate) read_turn: Turn,
-    pub(crate) write_turn: Turn,
+    pub(crate) turn: Turn,
 }
 
 impl Stream {
@@ -52,7 +51,7 @@
     pub(crate) fn new(socket: TcpStream) -> Stream {
         // The last segment of a large write would otherwise wait for an acknowledgement that the peer delays.
         let _ = socket.set_nodelay(true);
-        Stream { socket, read_turn: Turn::default(), write_turn: Turn::default() }
+        Stream { socket, turn: Turn::default() }
     }
 
     /// Waits until bytes arrive and reads those that fit; 0 at the end of the connection.
@@ -61,13 +60,13 @@
     /// The connection has broken.
     pub async fn read(&self, buffer: &mut impl ReadBuffer) -> io::Result<usize> {
         loop {
-            self.read_turn.wait().await;
-            self.socket.readable().await?;
+            self.turn.yield_if_over().await;
+            self.turn.wait_for(self.socket.readable()).await?;
             match self.socket.try_read(buffer.spare()) {
-                Err(error) if error.kind() == ErrorKind::WouldBlock => self.read_turn.restart(),
-                Err(error) if error.kind() == ErrorKind::Interrupted => self.read_turn.spend(0),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => self.turn.spend(0),
+                Err(error) if error.kind() == ErrorKind::Interrupted => self.turn.spend(0),
                 Ok(bytes) => {
-                    self.read_turn.spend(bytes);
+                    self.turn.spend(bytes);
                     return Ok(bytes);
                 }
                 Err(error) => return Err(error),
@@ -93,16 +92,15 @@
     /// Writes as much as the socket takes, at least one byte.
     async fn write_some(&self, bytes: &[u8]) -> io::Result<usize> {
         loop {
-            self.write_turn.wait().await;
+            self.turn.yield_if_over().await;
             match self.socket.try_write(bytes) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {
-                    self.write_turn.restart();
-                    self.socket.writable().await?;
+                    self.turn.wait_for(self.socket.writable()).await?;
                 }
-                Err(error) if error.kind() == ErrorKind::Interrupted => self.write_turn.spend(0),
+                Err(error) if error.kind() == ErrorKind::Interrupted => self.turn.spend(0),
                 Ok(written) => {
-                    self.write_turn.spend(written);
+                    self.turn.spend(written);
                     return Ok(written);
                 }
                 Err(error) => return Err(error),
@@ -134,18 +132,18 @@
     /// the future loses no bytes but those that `limit` counts.
     pub async fn discard(&self, limit: &mut usize) -> DiscardEnd {
         while *limit > 0 {
-            self.read_turn.wait().await;
-            if self.socket.readable().await.is_err() {
+            self.turn.yield_if_over().await;
+            if self.turn.wait_for(self.socket.readable()).await.is_err() {
                 return DiscardEnd::Disconnected;
             }
             match self.try_discard(*limit) {
                 Ok(0) => return DiscardEnd::Disconnected,
                 Ok(bytes) => {
-                    self.read_turn.spend(bytes);
+                    self.turn.spend(bytes);
                     *limit -= bytes;
                 }
-                Err(error) if error.kind() == ErrorKind::WouldBlock => self.read_turn.restart(),
-                Err(error) if error.kind() == ErrorKind::Interrupted => self.read_turn.spend(0),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => self.turn.spend(0),
+                Err(error) if error.kind() == ErrorKind::Interrupted => self.turn.spend(0),
                 Err(_) => return DiscardEnd::Disconnected,
             }
         }
--- a/crates/net/src/turn.rs
+++ b/crates/net/src/turn.rs
@@ -7,8 +7,8 @@
 /// Operations on a socket in a turn before other tasks run.
 pub const MAX_OPERATIONS: u32 = 8;
 
-/// What a socket has used of its current turn. A turn ends when the socket has nothing more to do, or when the budget is
-/// used up and other tasks have run.
+/// What a socket has used of its current turn. A turn ends when the task waits for the socket, or when the budget is used
+/// up and other tasks have run.
 #[derive(Debug, Default)]
 pub(crate) struct Turn {
     bytes: AtomicUsize,
@@ -34,8 +34,21 @@
         self.operations.store(0, Ordering::Relaxed);
     }
 
+    /// Waits for a socket; a new turn begins if it is not ready.
+    pub(crate) async fn wait_for<T>(&self, ready: impl Future<Output = T>) -> T {
+        let mut ready = std::pin::pin!(ready);
+        std::future::poll_fn(|context| {
+            let polled = ready.as_mut().poll(context);
+            if polled.is_pending() {
+                self.restart();
+            }
+            polled
+        })
+        .await
+    }
+
     /// Lets all other tasks run if the budget is used up.
-    pub(crate) async fn wait(&self) {
+    pub(crate) async fn yield_if_over(&self) {
         if self.is_over() {
             tokio::task::yield_now().await;
             self.restart();
