--- a/crates/sedgerun/src/frontend/ninep/in_flight.rs
+++ b/crates/sedgerun/src/frontend/ninep/in_flight.rs
@@ -10,8 +10,9 @@
 use tokio::task::AbortHandle;
 
 /// The state of an operation that its task and `Tflush` share.
-#[derive(Default)]
 pub(super) struct OperationState {
+    /// Its place in the order in which the client's messages were received.
+    sequence: u64,
     /// The operation's request in the dispatcher; `None` while no request is submitted.
     pub(super) request: Cell<Option<RequestId>>,
     /// The client has cancelled the operation.
@@ -19,6 +20,11 @@
 }
 
 impl OperationState {
+    /// Whether it was received before another operation.
+    fn precedes(&self, other: &OperationState) -> bool {
+        self.sequence < other.sequence
+    }
+
     /// Whether the client has cancelled the operation.
     pub(super) fn is_cancelled(&self) -> bool {
         self.is_cancelled.get()
@@ -29,11 +35,18 @@
 #[derive(Default)]
 pub(super) struct OperationTable {
     by_tag: RefCell<HashMap<u16, (Rc<OperationState>, AbortHandle)>>,
+    next_sequence: Cell<u64>,
     /// Notified when an operation ends.
     ended: Notify,
 }
 
 impl OperationTable {
+    /// The state of an operation that was just received.
+    pub(super) fn new_operation(&self) -> Rc<OperationState> {
+        let sequence = self.next_sequence.replace(self.next_sequence.get() + 1);
+        Rc::new(OperationState { sequence, request: Cell::default(), is_cancelled: Cell::default() })
+    }
+
     /// Whether no operation is in flight.
     pub(super) fn is_empty(&self) -> bool {
         self.by_tag.borrow().is_empty()
@@ -74,9 +87,10 @@
         }
     }
 
-    /// Waits until no operation with this tag is in flight.
-    async fn until_free(&self, tag: u16) {
-        while self.contains(tag) {
+    /// Waits until no operation with this tag is in flight that precedes another. One that comes later, or is the other
+    /// itself, may wait for the other in turn.
+    async fn until_ended(&self, tag: u16, other: &OperationState) {
+        while self.get(tag).is_some_and(|operation| operation.precedes(other)) {
             self.ended.notified().await;
         }
     }
@@ -108,14 +122,19 @@
     ///
     /// No attempt is started after the cancellation. If an attempt is already in flight, a backend may have
     /// executed it; the operation's reply is sent before the reply to the flush.
-    pub(super) async fn flush(&self, operations: &OperationTable, old_tag: u16) -> Message {
-        if let Some(operation) = operations.get(old_tag) {
+    pub(super) async fn flush(
+        &self,
+        flush: &OperationState,
+        operations: &OperationTable,
+        old_tag: u16,
+    ) -> Message {
+        if let Some(operation) = operations.get(old_tag).filter(|operation| operation.precedes(flush)) {
             operation.is_cancelled.set(true);
             if let Some(request) = operation.request.get() {
                 self.dispatch.cancel(request);
             }
         }
-        operations.until_free(old_tag).await;
+        operations.until_ended(old_tag, flush).await;
         Message::Rflush
     }
 }
--- a/crates/sedgerun/src/frontend/ninep/operations.rs
+++ b/crates/sedgerun/src/frontend/ninep/operations.rs
@@ -28,7 +28,7 @@
             Message::Tattach { fid, afid, uname, aname } => {
                 self.attach(operation, fid, afid, uname, &aname).await
             }
-            Message::Tflush { oldtag } => Ok(self.flush(&session.operations, oldtag).await),
+            Message::Tflush { oldtag } => Ok(self.flush(&operation.state, &session.operations, oldtag).await),
             Message::Twalk { fid, newfid, names } => self.walk(operation, fid, newfid, names).await,
             Message::Topen { fid, mode } => self.open(operation, fid, mode).await,
             Message::Tcreate { fid, name, perm, mode } => self.create(operation, fid, name, perm, mode).await,
--- a/crates/sedgerun/src/frontend/ninep/session.rs
+++ b/crates/sedgerun/src/frontend/ninep/session.rs
@@ -115,7 +115,8 @@
 impl Operation {
     /// Creates an operation of a session, without a request.
     pub(super) fn new(session: Rc<Session>) -> Operation {
-        Operation { session, state: Rc::default() }
+        let state = session.operations.new_operation();
+        Operation { session, state }
     }
 }
 
--- a/crates/sedgerun/tests/ninep.rs
+++ b/crates/sedgerun/tests/ninep.rs
@@ -236,3 +236,25 @@
     let long = "x".repeat(5000);
     assert!(matches!(resting.walk(2, &[&long]), Message::Rerror { .. }));
 }
+
+/// Guards against a flush that waits for itself, or for one that waits for it, and holds a place of all clients meanwhile.
+#[test]
+fn flushes_of_their_own_tag_and_of_each_other_are_answered() {
+    let backend = StandIn::start("s-1", 3, Duration::ZERO, Fault::None);
+    let discovery = Discovery::start(vec![backend.entry("ready")]);
+    let program = Program::start(&config(discovery.address), Some(&operator(&[&backend])));
+    let mut client = Client::attach(program.ninep.expect("9P"), "press");
+    client.stream.set_read_timeout(Some(Duration::from_secs(3))).expect("a timeout");
+    let flushes = [(7, 7), (8, 9), (9, 8)];
+    let frames = flushes.map(|(tag, oldtag)| Message::Tflush { oldtag }.encode(tag)).concat();
+    client.stream.write_all(&frames).expect("sent");
+    let mut answered: Vec<u16> = flushes
+        .iter()
+        .map(|_| match receive(&mut client.stream) {
+            Some((tag, Message::Rflush)) => tag,
+            other => panic!("{other:?}"),
+        })
+        .collect();
+    answered.sort_unstable();
+    assert_eq!(answered, [7, 8, 9]);
+}
--- a/crates/sedgerun/tests/soak/main.rs
+++ b/crates/sedgerun/tests/soak/main.rs
@@ -155,6 +155,7 @@
     }
     let (counts, violations) = record.summary();
     println!("seed {seed}: {scenario:?}\n  {counts:?}\n  {} violations", violations.len());
+    violations.iter().for_each(|violation| println!("    {violation}"));
     violations
 }
 
