HTTP: a body's data is gathered in the receive buffer it lies in

A response in small chunks that is passed on took two writes a chunk, or a second buffer beside the receive buffer, which the account of memory does not have. The data is moved together in place and goes out in one part; what a transfer holds is the receive buffer of its backend, the 8 KiB that the account gives each client's connection for its answer.

--- a/crates/sedgerun/src/backend/http/response_body.rs
+++ b/crates/sedgerun/src/backend/http/response_body.rs
@@ -4,7 +4,7 @@
 use super::connection::{Connection, RECEIVE_BUFFER_BYTES, ResponseError};
 use super::idle_connections::IdleConnections;
 use crate::backend::{AttemptContext, Transfer};
-use crate::http1::{BodyDecoder, BodyFraming, BodySegment};
+use crate::http1::{BodyDecoder, BodyError, BodyFraming, BodySegment};
 use crate::memory_budget::{BodyTooLarge, BudgetError, MemoryBudget, MemoryReservation};
 use sedgerun_dispatch::AttemptStage;
 use std::rc::Rc;
@@ -66,16 +66,44 @@
     /// # Errors
     /// The framing is malformed.
     pub fn buffered(&mut self) -> Result<BufferedBody, ResponseError> {
-        while self.pending == 0 {
-            match self.decoder.segment(self.connection.received.unread())? {
-                BodySegment::Framing(bytes) => self.connection.received.consume(bytes),
-                BodySegment::Data(bytes) => self.pending = bytes,
-                BodySegment::End => return Ok(BufferedBody::Ended),
-                BodySegment::Incomplete if self.has_connection_ended => return Ok(BufferedBody::Ended),
-                BodySegment::Incomplete => return Ok(BufferedBody::Incomplete),
+        if self.pending > 0 {
+            return Ok(BufferedBody::Data);
+        }
+        let (pending, end) = self.gather();
+        self.pending = pending;
+        match end {
+            _ if pending > 0 => Ok(BufferedBody::Data),
+            Ok(BodySegment::End) => Ok(BufferedBody::Ended),
+            Ok(_) if self.has_connection_ended => Ok(BufferedBody::Ended),
+            Ok(_) => Ok(BufferedBody::Incomplete),
+            Err(error) => Err(error.into()),
+        }
+    }
+
+    /// Moves the data among the received bytes together, and drops the framing between; the length of the data, and what
+    /// ends it.
+    fn gather(&mut self) -> (usize, Result<BodySegment, BodyError>) {
+        let unread = self.connection.received.unread_mut();
+        let (mut data_end, mut position) = (0, 0);
+        let end = loop {
+            match self.decoder.segment(&unread[position..]) {
+                Ok(BodySegment::Framing(bytes)) => position += bytes,
+                Ok(BodySegment::Data(bytes)) => {
+                    if position > data_end {
+                        unread.copy_within(position..position + bytes, data_end);
+                    }
+                    data_end += bytes;
+                    position += bytes;
+                }
+                end => break end,
             }
+        };
+        let dropped = position - data_end;
+        if dropped > 0 {
+            unread.copy_within(..data_end, dropped);
         }
-        Ok(BufferedBody::Data)
+        self.connection.received.consume(dropped);
+        (data_end, end)
     }
 
     /// Waits until more bytes have arrived, or the connection has ended behind a body that ends with it.
@@ -108,19 +136,6 @@
         }
     }
 
-    /// Waits for data, and appends all that has arrived to `data`; `false` at the end of the body.
-    ///
-    /// # Errors
-    /// The connection ends within the body, or its framing is malformed.
-    pub async fn read_available(&mut self, data: &mut Vec<u8>) -> Result<bool, ResponseError> {
-        let has_data = self.wait_for_data().await?;
-        while has_data && matches!(self.buffered(), Ok(BufferedBody::Data)) {
-            data.extend_from_slice(self.data());
-            self.consume_data();
-        }
-        Ok(has_data)
-    }
-
     /// The data that has arrived and was not consumed.
     pub fn data(&self) -> &[u8] {
         &self.connection.received.unread()[..self.pending]
--- a/crates/sedgerun/src/frontend/http/serve.rs
+++ b/crates/sedgerun/src/frontend/http/serve.rs
@@ -181,8 +181,7 @@
         self.write_part(&received.bytes, framing).await?;
         drop(received);
         loop {
-            let mut part = Vec::new();
-            match self.next_part(&mut rest, &mut part).await {
+            match self.next_part(&mut rest).await {
                 Ok(true) => transfer.record_progress(),
                 Ok(false) => break,
                 Err(reason) => {
@@ -190,7 +189,8 @@
                     return Err(reason);
                 }
             }
-            self.write_part(&part, framing).await?;
+            self.write_part(rest.data(), framing).await?;
+            rest.consume_data();
         }
         rest.finish();
         transfer.end(AttemptEnd::Ok);
@@ -201,7 +201,7 @@
     }
 
     /// Waits for the next part of a backend's body while the client is connected; `false` at the end of the body.
-    async fn next_part(&mut self, rest: &mut BodyReader, part: &mut Vec<u8>) -> Result<bool, CloseReason> {
+    async fn next_part(&mut self, rest: &mut BodyReader) -> Result<bool, CloseReason> {
         let stream = &self.connection.stream;
         let discarded = &mut self.discarded_bytes_left;
         let client_leaves = async {
@@ -211,7 +211,7 @@
         };
         tokio::select! {
             biased;
-            received = tokio::time::timeout(BACKEND_STALL_TIME, rest.read_available(part)) => {
+            received = tokio::time::timeout(BACKEND_STALL_TIME, rest.wait_for_data()) => {
                 let received = received.map_err(|_| CloseReason::BackendResponseStalled)?;
                 received.map_err(|_| CloseReason::BackendResponseBroken)
             }
--- a/crates/sedgerun/src/http1/buffer.rs
+++ b/crates/sedgerun/src/http1/buffer.rs
@@ -34,6 +34,11 @@
         &self.storage[self.start..self.end]
     }
 
+    /// The same, for decoding in place.
+    pub fn unread_mut(&mut self) -> &mut [u8] {
+        &mut self.storage[self.start..self.end]
+    }
+
     /// Whether nothing is left to consume.
     pub fn is_empty(&self) -> bool {
         self.start == self.end
