discovery: at least 20 ms between the starts of two polls that bring lists

A client asked for a small response with a length over 2.5 times its wait; the backend's trouble gave it without one. Such a response begins before the wait is over, as nobody but its backend knows that it is small. The check now goes by what the backend gave, and allows it only where the backend itself was not done in time; a small response without a length that its backend ended in time is held to its last byte, which it was not before.

--- a/crates/sedgerun/src/discovery/backoff.rs
+++ b/crates/sedgerun/src/discovery/backoff.rs
@@ -13,6 +13,9 @@
 const SWITCH_PERIOD: Duration = Duration::from_secs(4);
 /// Interval between polls of a new discovery that does not answer yet.
 const SWITCH_POLL_INTERVAL: Duration = Duration::from_millis(200);
+/// The shortest interval between the starts of two polls that bring lists, however soon each is answered: reading a list
+/// holds the event loop up.
+pub(super) const MIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// The shortest interval between polls of an agent that refuses, or that answers at once with nothing newer:
 /// guards against a busy loop.
 pub(super) const MIN_AGENT_POLL_INTERVAL: Duration = Duration::from_millis(50);
--- a/crates/sedgerun/tests/full_speed_peers.rs
+++ b/crates/sedgerun/tests/full_speed_peers.rs
@@ -7,8 +7,8 @@
 use peers::{SteadyClients, ahead, assert_within_memory};
 use sedgerun_protocol_9p::{MAX_MESSAGE_SIZE, Message, NO_TAG, VERSION};
 use serde_json::{Value, json};
-use standin::{Discovery, Fault, Program, StandIn, config, get, operator, write_request};
-use std::io::{Read, Write};
+use standin::{Discovery, Fault, Program, StandIn, config, get, operator, read_http, write_request};
+use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -258,6 +258,46 @@
     }
 }
 
+/// Guards against a discovery that answers each call at once with a changed list, which the head reads without a pause.
+#[test]
+fn a_discovery_that_changes_without_end_delays_no_client() {
+    const ENTRIES: usize = 1000;
+    const CALLS_BOUND: u64 = 60;
+    let backend = StandIn::start("s-0", 3, Duration::ZERO, Fault::None);
+    let mut entries = vec![backend.entry("ready")];
+    entries.extend((0..ENTRIES).map(|number| {
+        json!({"instanceId": format!("s-other-{number}"), "hostPort": "127.0.0.1:9", "zone": "a",
+            "machineType": "m", "cell": 9, "lifecycle": "ready", "weight": 1.0, "startedAtMs": 0})
+    }));
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let calls = Arc::<AtomicU64>::default();
+    let counted = Arc::clone(&calls);
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let mut reader = BufReader::new(stream.try_clone().expect("a clone"));
+            while read_http(&mut reader).is_some() {
+                let generation = 2 + counted.fetch_add(1, Ordering::SeqCst);
+                let list = json!({"generation": generation, "reset": true, "instances": entries}).to_string();
+                let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", list.len());
+                let _ = stream.write_all(&[head.as_bytes(), list.as_bytes()].concat());
+            }
+        }
+    });
+    let mut config = config(address);
+    config["limits"] = json!({"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": 1024});
+    config["known"] = json!({"generation": 1, "reset": true, "instances": [backend.entry("ready")]});
+    let _turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    let program = Program::start(&config, None);
+    let steady = SteadyClients::start(program.http, 10);
+    thread::sleep(FLOOD_TIME);
+    let calls = calls.load(Ordering::SeqCst);
+    let faults = faults_of("changing lists", &program, steady);
+    assert!(faults.is_empty(), "{faults:#?}, {calls} calls");
+    let calls_a_second = calls / FLOOD_TIME.as_secs();
+    assert!(calls_a_second <= CALLS_BOUND, "{calls_a_second} calls a second");
+}
+
 /// Guards against a test that floods nobody.
 #[test]
 fn a_flooder_is_answered() {
--- a/crates/sedgerun/tests/soak/record.rs
+++ b/crates/sedgerun/tests/soak/record.rs
@@ -154,6 +154,17 @@
         self.change_given(id, |given| given.is_cut = true);
     }
 
+    /// Whether a backend gave the response without a length, and was not done before the client's wait was over. Such a
+    /// response begins in time, as nobody but its backend knows that it is small.
+    pub fn outlasts_wait_without_length(&self, id: &str) -> bool {
+        let requests = self.requests.lock().expect("a record");
+        let Some(request) = requests.get(id) else { return false };
+        request.given.is_some_and(|given| {
+            let outlasts = given.last_byte_at + BEGIN_SLACK > request.sent_at + request.timeout;
+            !given.response.has_length && outlasts
+        })
+    }
+
     /// A client has got an answer.
     pub fn got(&self, id: &str, got: Got) {
         self.change(id, |request| request.got = Some(got));
