--- a/crates/sedgerun/tests/full_speed_peers.rs
+++ b/crates/sedgerun/tests/full_speed_peers.rs
@@ -258,6 +258,31 @@
     }
 }
 
+/// A discovery that answers each call at once with these entries, as a newer generation; and the number of calls.
+fn start_changing_discovery(entries: Vec<Value>) -> (SocketAddr, Arc<AtomicU64>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let calls = Arc::<AtomicU64>::default();
+    let counted = Arc::clone(&calls);
+    let entries = Arc::new(entries);
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let (calls, entries) = (Arc::clone(&counted), Arc::clone(&entries));
+            thread::spawn(move || {
+                let mut reader = BufReader::new(stream.try_clone().expect("a clone"));
+                while read_http(&mut reader).is_some() {
+                    let generation = 2 + calls.fetch_add(1, Ordering::SeqCst);
+                    let list =
+                        json!({"generation": generation, "reset": true, "instances": *entries}).to_string();
+                    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", list.len());
+                    let _ = stream.write_all(&[head.as_bytes(), list.as_bytes()].concat());
+                }
+            });
+        }
+    });
+    (address, calls)
+}
+
 /// Guards against a discovery that answers each call at once with a changed list, which the head reads without a pause.
 #[test]
 fn a_discovery_that_changes_without_end_delays_no_client() {
@@ -269,21 +294,7 @@
         json!({"instanceId": format!("s-other-{number}"), "hostPort": "127.0.0.1:9", "zone": "a",
             "machineType": "m", "cell": 9, "lifecycle": "ready", "weight": 1.0, "startedAtMs": 0})
     }));
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let address = listener.local_addr().expect("an address");
-    let calls = Arc::<AtomicU64>::default();
-    let counted = Arc::clone(&calls);
-    thread::spawn(move || {
-        for mut stream in listener.incoming().flatten() {
-            let mut reader = BufReader::new(stream.try_clone().expect("a clone"));
-            while read_http(&mut reader).is_some() {
-                let generation = 2 + counted.fetch_add(1, Ordering::SeqCst);
-                let list = json!({"generation": generation, "reset": true, "instances": entries}).to_string();
-                let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", list.len());
-                let _ = stream.write_all(&[head.as_bytes(), list.as_bytes()].concat());
-            }
-        }
-    });
+    let (address, calls) = start_changing_discovery(entries);
     let mut config = config(address);
     config["limits"] = json!({"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": 1024});
     config["known"] = json!({"generation": 1, "reset": true, "instances": [backend.entry("ready")]});
@@ -295,7 +306,7 @@
     let faults = faults_of("changing lists", &program, steady);
     assert!(faults.is_empty(), "{faults:#?}, {calls} calls");
     let calls_a_second = calls / FLOOD_TIME.as_secs();
-    assert!(calls_a_second <= CALLS_BOUND, "{calls_a_second} calls a second");
+    assert!((10..=CALLS_BOUND).contains(&calls_a_second), "{calls_a_second} calls a second");
 }
 
 /// Guards against a test that floods nobody.
