--- a/crates/sedgerun/src/backend/http/response_body.rs
+++ b/crates/sedgerun/src/backend/http/response_body.rs
@@ -227,7 +227,7 @@
 }
 
 /// Receives a body to its end; or a part of it, where the rest is passed on as it comes. That is a body over
-/// [`LARGE_BYTES`] that is not complete within [`RETRY_WINDOW`], one without a length that is not complete shortly before
+/// `LARGE_BYTES` that is not complete within `RETRY_WINDOW`, one without a length that is not complete shortly before
 /// the client must have its response, and one for which `budget` has no memory.
 ///
 /// # Errors
