9P, mgmt, admin: a line for each refusal and close; the log of refusals has a test

The operators' log was empty: 9P sessions ended, operations were refused and callers closed unread without a word. Now a 9P session says why it ended, an operation that is not carried out has session, tag and reason, and a caller or connection that is closed unread, or a request to the API that is refused, has a line.

--- a/crates/sedgerun/src/admin/connection.rs
+++ b/crates/sedgerun/src/admin/connection.rs
@@ -51,8 +51,11 @@
             };
             let (api, permits) = (Rc::clone(&self), Rc::clone(&permits));
             actix_rt::spawn(async move {
-                if let Ok(_permit) = permits.try_acquire() {
-                    api.serve_connection(stream).await;
+                match permits.try_acquire() {
+                    Ok(_permit) => api.serve_connection(stream).await,
+                    Err(_) => {
+                        tracing::info!("admin: a connection is closed unread, as many as may be are open");
+                    }
                 }
             });
         }
@@ -158,6 +161,9 @@
 async fn send(connection: &ServerConnection, response: ApiResponse, keeps_open: bool) -> Result<(), Closed> {
     let (head, body) = (response_head(&response, keeps_open), response.text());
     let head = format!("{head}Content-Length: {}\r\n\r\n", body.len());
+    if !response.status.is_success() {
+        tracing::info!("admin: a request is answered {}", response.status.as_u16());
+    }
     let written = write_message(&connection.stream, head.as_bytes(), body.as_bytes(), WRITE_TIMEOUT, |_| {});
     written.await.map_err(|_| Closed)?;
     if keeps_open { Ok(()) } else { Err(Closed) }
--- a/crates/sedgerun/src/frontend/ninep/accept.rs
+++ b/crates/sedgerun/src/frontend/ninep/accept.rs
@@ -1,5 +1,6 @@
 //! Accepts 9P clients, within the limits on clients and descriptors, and serves each in a task of its own.
 
+use super::close_reason::CloseReason;
 use super::session::Session;
 use super::{NinePFrontend, ServedSession};
 use crate::descriptors::DescriptorPermit;
@@ -41,6 +42,10 @@
             };
             if self.has_capacity_for_client() {
                 self.serve_session(stream, shared);
+            } else {
+                tracing::info!(
+                    "a new 9P client is closed unread: the limit of clients or descriptors is reached"
+                );
             }
         }
     }
@@ -54,18 +59,19 @@
 
     /// Serves a client in a task of its own, which ends with the connection.
     fn serve_session(self: &Rc<Self>, stream: Stream, shared: bool) {
-        let (session, mut replies) = Session::new(shared);
-        let session = Rc::new(session);
         let number = self.next_session.replace(self.next_session.get() + 1);
+        let (session, mut replies) = Session::new(number, shared);
+        let session = Rc::new(session);
         let descriptor = self.dispatch.backends().descriptors().acquire();
         let open_session = OpenSession { frontend: Rc::clone(self), number, _descriptor: descriptor };
         let served = Rc::clone(&session);
         let task = actix_rt::spawn(async move {
             let frontend = Rc::clone(&open_session.frontend);
-            tokio::select! {
-                () = served.write_replies(&mut replies, &stream) => {}
-                () = frontend.read_messages(&served, &stream) => {}
-            }
+            let reason = tokio::select! {
+                () = served.write_replies(&mut replies, &stream) => CloseReason::ReplyNotTaken,
+                reason = frontend.read_messages(&served, &stream) => reason,
+            };
+            reason.log(number);
         });
         self.sessions.borrow_mut().insert(number, ServedSession { session, task: task.abort_handle() });
     }
--- a/crates/sedgerun/src/frontend/ninep/error.rs
+++ b/crates/sedgerun/src/frontend/ninep/error.rs
@@ -1,5 +1,6 @@
 //! Errors of operations. The texts are sent to clients as the `ename` of an `Rerror`.
 
+use crate::logging::info_by_kind;
 use sedgerun_policy::Micros;
 use sedgerun_protocol_9p::MalformedMessage;
 use thiserror::Error;
@@ -68,3 +69,14 @@
     #[error("failed: it may have run")]
     Failed,
 }
+
+impl NinePError {
+    /// Logs that an operation is not carried out. Refusals, failures and faults of clients have lines of their own.
+    pub(super) fn log(&self, session: u64, tag: u16) {
+        info_by_kind!(
+            self,
+            [NinePError::Rejected { .. }, NinePError::Failed, NinePError::Cancelled, _],
+            format_args!("9P session {session}, tag {tag}: {self}")
+        );
+    }
+}
--- a/crates/sedgerun/src/frontend/ninep/mod.rs
+++ b/crates/sedgerun/src/frontend/ninep/mod.rs
@@ -12,10 +12,12 @@
 //! | `walk`, `open` | walking to files; opening and creating them |
 //! | `submission` | submits an operation to the dispatcher |
 //! | `error` | errors that are sent to clients |
+//! | `close_reason` | why a session ended |
 //!
 //! The front end runs on one thread: a session is owned by its task, and shared with its operations by `Rc`.
 
 mod accept;
+mod close_reason;
 mod error;
 mod fids;
 mod in_flight;
--- a/crates/sedgerun/src/frontend/ninep/reader.rs
+++ b/crates/sedgerun/src/frontend/ninep/reader.rs
@@ -1,6 +1,7 @@
 //! Reads a client's messages and starts their operations, until the client disconnects or violates the
 //! protocol.
 
+use super::close_reason::CloseReason;
 use super::in_flight::TagGuard;
 use super::session::{Operation, Session};
 use super::{KIB, MESSAGE_TIMEOUT, NinePFrontend};
@@ -17,13 +18,18 @@
 /// The largest reply without data, in bytes.
 const MAX_SMALL_REPLY_BYTES: usize = 1024;
 
-/// The client has disconnected or violated the protocol; its connection is closed.
-struct EndOfSession;
-
 impl NinePFrontend {
-    /// Reads a client's messages until it disconnects or violates the protocol.
-    pub(super) async fn read_messages(self: &Rc<Self>, session: &Rc<Session>, stream: &Stream) {
-        while self.read_message(session, stream).await.is_ok() {}
+    /// Reads a client's messages until it disconnects or violates the protocol; why the session ends.
+    pub(super) async fn read_messages(
+        self: &Rc<Self>,
+        session: &Rc<Session>,
+        stream: &Stream,
+    ) -> CloseReason {
+        loop {
+            if let Err(reason) = self.read_message(session, stream).await {
+                return reason;
+            }
+        }
     }
 
     /// Reads one message and starts its operation; a `Tversion` is handled directly.
@@ -31,30 +37,31 @@
         self: &Rc<Self>,
         session: &Rc<Session>,
         stream: &Stream,
-    ) -> Result<(), EndOfSession> {
-        let frame = read_frame(session, stream).await.ok_or(EndOfSession)?;
-        let (_, tag) = peek_type_and_tag(&frame).map_err(|_| EndOfSession)?;
+    ) -> Result<(), CloseReason> {
+        let frame = read_frame(session, stream).await?;
+        let (_, tag) = peek_type_and_tag(&frame).map_err(|_| CloseReason::UnusableTag)?;
         match Message::decode(&frame) {
             Err(_) => {
                 let ename = "malformed message".into();
                 reply(session, tag, Message::Rerror { ename }).await
             }
             Ok((_, Message::Tversion { msize, version })) => {
-                let version_reply = self.negotiate_version(session, msize, &version).ok_or(EndOfSession)?;
+                let version_reply = self.negotiate_version(session, msize, &version);
+                let version_reply = version_reply.ok_or(CloseReason::MessageSizeTooSmall)?;
                 // Waits for operations from before the `Tversion` to end, so that their tags are free in the
                 // new session.
                 let emptied = unless_disconnected(stream, session.operations.until_empty()).await;
-                emptied.ok_or(EndOfSession)?;
+                emptied.ok_or(CloseReason::Disconnected)?;
                 reply(session, tag, version_reply).await
             }
             // Replies to two operations with the same tag cannot be told apart: a tag in flight ends the
             // connection.
-            Ok(_) if tag == NO_TAG || session.operations.contains(tag) => Err(EndOfSession),
+            Ok(_) if tag == NO_TAG || session.operations.contains(tag) => Err(CloseReason::UnusableTag),
             Ok((_, message)) => {
                 let bytes = operation_bytes(frame.len(), &message, session.message_size());
                 drop(frame);
                 let permits = unless_disconnected(stream, self.operation_permits(session, bytes)).await;
-                let permits = permits.flatten().ok_or(EndOfSession)?;
+                let permits = permits.flatten().ok_or(CloseReason::Disconnected)?;
                 self.start_operation(session, tag, message, permits);
                 Ok(())
             }
@@ -87,7 +94,10 @@
         let task = actix_rt::spawn(async move {
             let reply = match frontend.perform(&operation, message).await {
                 Ok(reply) => reply,
-                Err(error) => Message::Rerror { ename: error.to_string() },
+                Err(error) => {
+                    error.log(operation.session.number, tag);
+                    Message::Rerror { ename: error.to_string() }
+                }
             };
             // The reply is queued before the tag is freed, so that the reply to a flush follows it.
             operation.session.reply(tag, reply, Some(memory)).await;
@@ -116,34 +126,35 @@
 }
 
 /// Queues a reply.
-async fn reply(session: &Session, tag: u16, message: Message) -> Result<(), EndOfSession> {
-    if session.reply(tag, message, None).await { Ok(()) } else { Err(EndOfSession) }
+async fn reply(session: &Session, tag: u16, message: Message) -> Result<(), CloseReason> {
+    if session.reply(tag, message, None).await { Ok(()) } else { Err(CloseReason::ReplyNotTaken) }
 }
 
-/// Reads a message without its length field; `None` if the client has disconnected or has timed out, or the
-/// length is invalid, in which case the end of the message is unknown and no reply is possible.
-async fn read_frame(session: &Session, stream: &Stream) -> Option<Vec<u8>> {
+/// Reads a message without its length field.
+async fn read_frame(session: &Session, stream: &Stream) -> Result<Vec<u8>, CloseReason> {
     let mut first = [0; 1];
     let first_byte = stream.read_exact(&mut first);
     // A session may be idle between messages, but not before its version is negotiated, nor within a message.
-    if session.version_agreed() {
-        first_byte.await.ok()?;
+    let received = if session.version_agreed() {
+        first_byte.await
     } else {
-        tokio::time::timeout(MESSAGE_TIMEOUT, first_byte).await.ok()?.ok()?;
-    }
+        let received = tokio::time::timeout(MESSAGE_TIMEOUT, first_byte).await;
+        received.map_err(|_| CloseReason::MessageOverdue)?
+    };
+    received.map_err(|_| CloseReason::Disconnected)?;
     let rest = read_rest(stream, first[0], session.message_size());
-    tokio::time::timeout(MESSAGE_TIMEOUT, rest).await.ok()?
+    tokio::time::timeout(MESSAGE_TIMEOUT, rest).await.map_err(|_| CloseReason::MessageOverdue)?
 }
 
-/// Reads the rest of a message after its first byte, and returns the message without its length field. `None`
-/// if the connection has ended or the length is invalid.
-async fn read_rest(stream: &Stream, first: u8, message_size: u32) -> Option<Vec<u8>> {
+/// Reads the rest of a message after its first byte, and returns the message without its length field. Behind an
+/// invalid length the end of the message is unknown, and no reply is possible.
+async fn read_rest(stream: &Stream, first: u8, message_size: u32) -> Result<Vec<u8>, CloseReason> {
     let mut length_field = [first, 0, 0, 0];
-    stream.read_exact(&mut length_field[1..]).await.ok()?;
-    let length = frame_length(length_field, message_size).ok()?;
+    stream.read_exact(&mut length_field[1..]).await.map_err(|_| CloseReason::Disconnected)?;
+    let length = frame_length(length_field, message_size).map_err(|_| CloseReason::InvalidLength)?;
     let mut frame = vec![0; length - 4];
-    stream.read_exact(&mut frame).await.ok()?;
-    Some(frame)
+    stream.read_exact(&mut frame).await.map_err(|_| CloseReason::Disconnected)?;
+    Ok(frame)
 }
 
 /// Waits for a future while no message is read from the client; `None` once the client has disconnected.
--- a/crates/sedgerun/src/frontend/ninep/session.rs
+++ b/crates/sedgerun/src/frontend/ninep/session.rs
@@ -26,6 +26,8 @@
 
 /// A client's session.
 pub(super) struct Session {
+    /// Identifies it in the log.
+    pub(super) number: u64,
     replies: mpsc::Sender<QueuedReply>,
     /// The client connected to an address that another head may take over.
     is_shared: bool,
@@ -39,9 +41,10 @@
 
 impl Session {
     /// Creates a session and the queue of its encoded replies.
-    pub(super) fn new(is_shared: bool) -> (Session, mpsc::Receiver<QueuedReply>) {
+    pub(super) fn new(number: u64, is_shared: bool) -> (Session, mpsc::Receiver<QueuedReply>) {
         let (replies, queue) = mpsc::channel(MAX_QUEUED_REPLIES);
         let session = Session {
+            number,
             replies,
             is_shared,
             unsent_replies: Cell::new(0),
--- a/crates/sedgerun/src/management/mod.rs
+++ b/crates/sedgerun/src/management/mod.rs
@@ -106,7 +106,10 @@
                 continue;
             };
             // Guards against callers that connect and send nothing: those past the bound are closed at once.
-            let Some(permit) = CallerPermit::acquire(&self.callers, self.max_callers()) else { continue };
+            let Some(permit) = CallerPermit::acquire(&self.callers, self.max_callers()) else {
+                tracing::info!("mgmt: a caller is closed unread, as many as may be are connected");
+                continue;
+            };
             let server = Rc::clone(&self);
             actix_rt::spawn(async move {
                 server.serve_caller(stream).await;
@@ -117,7 +120,10 @@
 
     async fn serve_caller(&self, mut stream: Stream) {
         let answer = match tokio::time::timeout(LINE_TIME, read_line(&stream)).await {
-            Err(_) => "NO no whole line in time\n".to_owned(),
+            Err(_) => {
+                tracing::info!("mgmt: a caller sent no whole line in time");
+                "NO no whole line in time\n".to_owned()
+            }
             Ok(None) => return,
             Ok(Some(line)) => match OperatorCommand::parse(&line) {
                 Ok(command) => self.answer(command).await,
