Last read: one pause between polls, one stand-in that writes at a pace, plainer sockets

Found on reading the change. ListenerOptions had one field. The two retryable errors of a socket stood in three places. The error of a transfer took a latency that its only use replaced by the objective. PacedBackend wrote responses with a copy of write_described. Comments of the new files say in plainer words what they said.

--- a/crates/net/src/datagrams.rs
+++ b/crates/net/src/datagrams.rs
@@ -16,7 +16,7 @@
     /// Receives at an address.
     ///
     /// # Errors
-    /// Those of the operating system, such as an address that is in use.
+    /// Errors of the operating system, such as an address that is in use.
     pub async fn bind(address: SocketAddr) -> io::Result<DatagramSocket> {
         Ok(DatagramSocket { socket: UdpSocket::bind(address).await?, turn: Turn::default() })
     }
@@ -24,7 +24,7 @@
     /// The address that it receives at.
     ///
     /// # Errors
-    /// Those of the operating system.
+    /// Errors of the operating system.
     pub fn local_addr(&self) -> io::Result<SocketAddr> {
         self.socket.local_addr()
     }
@@ -32,7 +32,7 @@
     /// Waits for a datagram and copies what fits; its length, and its sender.
     ///
     /// # Errors
-    /// Those of the operating system: a peer's port may be closed.
+    /// Errors of the operating system; a peer's port may be closed.
     pub async fn receive_from(&self, buffer: &mut [u8]) -> io::Result<(usize, SocketAddr)> {
         self.turn.yield_if_over().await;
         self.turn.spend(0);
@@ -42,7 +42,7 @@
     /// Sends a datagram.
     ///
     /// # Errors
-    /// Those of the operating system.
+    /// Errors of the operating system.
     pub async fn send_to(&self, datagram: &[u8], to: SocketAddr) -> io::Result<()> {
         self.socket.send_to(datagram, to).await.map(drop)
     }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -3,7 +3,8 @@
 //!
 //! A task whose socket is always ready never waits, and on a runtime of one thread no other task runs then. So each
 //! socket has a budget of bytes and operations for one turn of the event loop ([`turn`]); an operation past it lets all
-//! other tasks run first, whatever the peer sends. What is read only to be dropped has a bound ([`Stream::discard`]).
+//! other tasks run first, whatever the peer sends. Bytes that are read only to be
+//! dropped have a bound ([`Stream::discard`]).
 //!
 //! | module | job |
 //! | --- | --- |
@@ -21,5 +22,5 @@
 pub mod turn;
 
 pub use datagrams::DatagramSocket;
-pub use listener::{Listener, ListenerOptions};
+pub use listener::Listener;
 pub use stream::{DiscardEnd, ReadBuffer, Stream};
--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -6,14 +6,6 @@
 use std::net::SocketAddr;
 use tokio::net::{TcpListener, TcpSocket};
 
-/// How a listener is made.
-#[derive(Clone, Copy, Debug)]
-pub struct ListenerOptions {
-    /// Connections that wait to be accepted. Past it the system drops a client's first packet, which is sent again a
-    /// second later.
-    pub backlog: u32,
-}
-
 /// A listening socket.
 #[derive(Debug)]
 pub struct Listener {
@@ -22,18 +14,19 @@
 }
 
 impl Listener {
-    /// Listens at an address, also where a process before this one has connections there that are being closed.
+    /// Listens at an address, also where a process before this one has connections there that are being closed. Up to
+    /// `backlog` connections wait to be accepted.
     ///
     /// # Errors
-    /// Those of the operating system, such as an address that is in use.
-    pub fn bind(address: SocketAddr, options: ListenerOptions) -> io::Result<Listener> {
+    /// Errors of the operating system, such as an address that is in use.
+    pub fn bind(address: SocketAddr, backlog: u32) -> io::Result<Listener> {
         let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
         socket.set_reuseaddr(true)?;
         socket.bind(address)?;
-        Ok(Listener { socket: socket.listen(options.backlog)?, turn: Turn::default() })
+        Ok(Listener { socket: socket.listen(backlog)?, turn: Turn::default() })
     }
 
-    /// Takes over a listening socket.
+    /// Wraps a socket that listens already.
     ///
     /// # Errors
     /// The socket cannot be made non-blocking or registered.
@@ -45,7 +38,7 @@
     /// The address that it listens at.
     ///
     /// # Errors
-    /// Those of the operating system.
+    /// Errors of the operating system.
     pub fn local_addr(&self) -> io::Result<SocketAddr> {
         self.socket.local_addr()
     }
--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -43,7 +43,7 @@
     /// Connects to an address.
     ///
     /// # Errors
-    /// Those of the operating system.
+    /// Errors of the operating system.
     pub async fn connect(address: SocketAddr) -> io::Result<Stream> {
         TcpStream::connect(address).await.map(Stream::new)
     }
@@ -63,8 +63,7 @@
             self.turn.yield_if_over().await;
             self.turn.wait_for(self.socket.readable()).await?;
             match self.socket.try_read(buffer.spare()) {
-                Err(error) if error.kind() == ErrorKind::WouldBlock => self.turn.spend(0),
-                Err(error) if error.kind() == ErrorKind::Interrupted => self.turn.spend(0),
+                Err(error) if is_retryable(&error) => self.turn.spend(0),
                 Ok(bytes) => {
                     self.turn.spend(bytes);
                     return Ok(bytes);
@@ -142,8 +141,7 @@
                     self.turn.spend(bytes);
                     *limit -= bytes;
                 }
-                Err(error) if error.kind() == ErrorKind::WouldBlock => self.turn.spend(0),
-                Err(error) if error.kind() == ErrorKind::Interrupted => self.turn.spend(0),
+                Err(error) if is_retryable(&error) => self.turn.spend(0),
                 Err(_) => return DiscardEnd::Disconnected,
             }
         }
@@ -166,7 +164,7 @@
     /// then.
     pub fn is_silent(&self) -> bool {
         let received = self.socket.try_read(&mut [0; 1]);
-        received.is_err_and(|error| matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted))
+        received.is_err_and(|error| is_retryable(&error))
     }
 
     /// Whether the peer has closed its sending side, be it that bytes before it are still unread.
@@ -182,3 +180,8 @@
         .await
     }
 }
+
+/// Whether an operation has transferred nothing and can be repeated.
+fn is_retryable(error: &io::Error) -> bool {
+    matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted)
+}
--- a/crates/net/tests/turns.rs
+++ b/crates/net/tests/turns.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::disallowed_types, reason = "the peers of the sockets under test")]
 
-use sedgerun_net::{DatagramSocket, DiscardEnd, Listener, ListenerOptions, Stream};
+use sedgerun_net::{DatagramSocket, DiscardEnd, Listener, Stream};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream, UdpSocket};
 use std::sync::Arc;
@@ -36,7 +36,7 @@
 /// A stream whose peer writes, or reads, at full speed.
 async fn stream_to(peer: impl Fn(TcpStream, &AtomicBool) + Send + 'static) -> (Stream, Arc<AtomicBool>) {
     let address: SocketAddr = "127.0.0.1:0".parse().expect("an address");
-    let listener = Listener::bind(address, ListenerOptions { backlog: 16 }).expect("a listener");
+    let listener = Listener::bind(address, 16).expect("a listener");
     let to = listener.local_addr().expect("an address");
     let over = Arc::<AtomicBool>::default();
     let peer_over = Arc::clone(&over);
--- a/crates/policy/src/transfer.rs
+++ b/crates/policy/src/transfer.rs
@@ -48,10 +48,7 @@
         let Some(backend) = self.backends.get_mut(attempt.backend) else { return };
         match end {
             AttemptEnd::Ok => backend.health.on_response(now),
-            AttemptEnd::Error => {
-                let latency = now.saturating_sub(attempt.sent_at).min(backend.latency.objective());
-                backend.on_error(attempt, latency, now);
-            }
+            AttemptEnd::Error => backend.on_error(attempt, backend.latency.objective(), now),
             AttemptEnd::Reset | AttemptEnd::ConnectFailed | AttemptEnd::ConnectTimeout => {
                 backend.on_reset(now);
             }
--- a/crates/sedgerun/src/backend/http/response_body.rs
+++ b/crates/sedgerun/src/backend/http/response_body.rs
@@ -204,7 +204,7 @@
     }
 }
 
-/// A body of which a part was received. The rest is read as its receiver takes it, which `transfer` is told.
+/// A body of which a part was received. The rest is read as its receiver takes it; `transfer` reports progress and end.
 #[derive(Debug)]
 pub struct StreamedBody {
     /// The part that was received, which comes first.
--- a/crates/sedgerun/src/backend/ninep/connection.rs
+++ b/crates/sedgerun/src/backend/ninep/connection.rs
@@ -98,7 +98,7 @@
         AttemptConnection { connection, progress }
     }
 
-    /// Sends a message and waits for its response, of which the attempt's progress tells. Dropping the future sends a
+    /// Sends a message and waits for its response; a response that comes in parts updates the progress. Dropping the future sends a
     /// `Tflush` for the message.
     pub(super) async fn call(&self, message: Message) -> Result<Message, ConnectionLost> {
         self.progress.advance(AttemptStage::AwaitingResponse);
@@ -260,7 +260,8 @@
     }
 }
 
-/// Reads one message from a backend's connection. A call whose response has begun, and is not complete, is told so.
+/// Reads one message from a backend's connection. The progress of a call is updated if its response
+/// is incomplete.
 async fn read_message(stream: &Stream, connection: &Weak<Connection>) -> Result<(u16, Message), ReadError> {
     let mut header = [0; HEADER_BYTES];
     stream.read_exact(&mut header).await?;
@@ -273,7 +274,7 @@
     Ok(Message::decode(&frame)?)
 }
 
-/// Reads the rest of a message. The call with its tag is told if the rest has not arrived yet.
+/// Reads the rest of a message. The progress of the call with its tag is updated if the rest has not arrived yet.
 async fn read_rest(
     stream: &Stream,
     rest: &mut [u8],
--- a/crates/sedgerun/src/backend/ninep/in_flight.rs
+++ b/crates/sedgerun/src/backend/ninep/in_flight.rs
@@ -18,7 +18,7 @@
 
 /// The receiver of the response with a tag.
 enum Waiter {
-    /// The caller that sent the message, and whom to tell that a part of the response has arrived.
+    /// The caller that sent the message, and the progress to update when a part of the response arrives.
     Call { response: oneshot::Sender<Message>, progress: Option<AttemptProgress> },
     /// The caller has been dropped. The tag stays in use until the response to its `Tflush`.
     Cancelled,
--- a/crates/sedgerun/src/discovery/mod.rs
+++ b/crates/sedgerun/src/discovery/mod.rs
@@ -122,12 +122,11 @@
         let is_newer = poll.since != Some(list.generation);
         let scope = if list.is_full { UpdateScope::Full } else { UpdateScope::Delta };
         self.deliver(scope, list);
-        if let Some(pause) = MIN_POLL_INTERVAL.checked_sub(started.elapsed()) {
-            tokio::time::sleep(pause).await;
-        }
         let is_agent = self.timing.source() == ListSource::Agent;
         if is_agent && !is_newer && started.elapsed() < MIN_AGENT_POLL_INTERVAL {
             tokio::time::sleep(MIN_AGENT_POLL_INTERVAL).await;
+        } else if let Some(pause) = MIN_POLL_INTERVAL.checked_sub(started.elapsed()) {
+            tokio::time::sleep(pause).await;
         }
     }
 
--- a/crates/sedgerun/src/event_loop.rs
+++ b/crates/sedgerun/src/event_loop.rs
@@ -1,4 +1,4 @@
-//! Watches the event loop. A task that holds it up delays every other one, and nothing else in the log would say so.
+//! Detects stalls of the event loop: a task that blocks it delays all other tasks, and no other log line shows that.
 
 use std::cell::Cell;
 use std::time::{Duration, Instant};
--- a/crates/sedgerun/src/frontend/http/accept.rs
+++ b/crates/sedgerun/src/frontend/http/accept.rs
@@ -8,7 +8,7 @@
 use super::response::ResponseBody;
 use super::serve::{ClientConnection, DISCARDED_BYTES, LINGER_TIME};
 use crate::http1::{ServerConnection, write_message};
-use sedgerun_net::{Listener, ListenerOptions, Stream};
+use sedgerun_net::{Listener, Stream};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -27,7 +27,7 @@
 /// # Errors
 /// Errors of the operating system, such as an address that is in use.
 pub fn bind(address: SocketAddr) -> io::Result<Listener> {
-    Listener::bind(address, ListenerOptions { backlog: BACKLOG })
+    Listener::bind(address, BACKLOG)
 }
 
 impl HttpFrontend {
--- a/crates/sedgerun/src/frontend/http/serve.rs
+++ b/crates/sedgerun/src/frontend/http/serve.rs
@@ -175,7 +175,7 @@
     }
 
     /// Passes a backend's body on while it comes in, each part as soon as the client has taken the one before. The
-    /// connection closes within the body if the backend does not complete it, or one of both stands still.
+    /// connection closes within the body if the backend does not complete it, or the backend or the client stalls.
     async fn stream(&mut self, body: StreamedBody, framing: ResponseFraming) -> Result<(), CloseReason> {
         let StreamedBody { received, mut rest, mut transfer, .. } = body;
         self.write_part(&received.bytes, framing).await?;
--- a/crates/sedgerun/src/logging/mod.rs
+++ b/crates/sedgerun/src/logging/mod.rs
@@ -3,8 +3,8 @@
 
 pub mod rate_limit;
 
-/// Logs a line at info level from a place of its own for each pattern. The rate limit counts places, so that lines of
-/// one kind do not crowd out those of another.
+/// Logs a line at info level, with a separate callsite for each pattern. The rate limit applies to each callsite, so that
+/// lines of one kind do not crowd out lines of another.
 macro_rules! info_by_kind {
     ($value:expr, [$($kind:pat),+ $(,)?], $line:expr) => {
         match $value {
--- a/crates/sedgerun/tests/peers/mod.rs
+++ b/crates/sedgerun/tests/peers/mod.rs
@@ -132,29 +132,11 @@
     (index % 251) as u8
 }
 
-fn write_paced(mut stream: &TcpStream, pace: ResponsePace) -> std::io::Result<()> {
-    let framing = match pace.framing {
-        Framing::Length => format!("Content-Length: {}\r\n", pace.bytes),
-        Framing::Chunked => "Transfer-Encoding: chunked\r\n".to_owned(),
-        Framing::Close => String::new(),
-    };
-    stream.write_all(format!("HTTP/1.1 200 OK\r\n{framing}\r\n").as_bytes())?;
-    let body: Vec<u8> = (0..pace.bytes).map(body_byte).collect();
-    let parts = if pace.duration.is_zero() { 1 } else { PARTS };
-    for part in body.chunks(pace.bytes.div_ceil(parts).max(1)) {
-        thread::sleep(pace.duration / parts as u32);
-        if pace.framing == Framing::Chunked {
-            stream.write_all(format!("{:x}\r\n", part.len()).as_bytes())?;
-        }
-        stream.write_all(part)?;
-        if pace.framing == Framing::Chunked {
-            stream.write_all(b"\r\n")?;
-        }
-    }
-    if pace.framing == Framing::Chunked {
-        stream.write_all(b"0\r\n\r\n")?;
-    }
-    Ok(())
+fn write_paced(stream: &TcpStream, pace: ResponsePace) -> std::io::Result<()> {
+    let ResponsePace { bytes, duration, framing } = pace;
+    let lumps = if duration.is_zero() { 1 } else { PARTS };
+    let body: Vec<u8> = (0..bytes).map(body_byte).collect();
+    write_described(stream, Described { bytes, written_over: duration, lumps, framing }, &body, |_| {})
 }
 
 /// A response that a client has read: its status, and its body if that came to its end.
