--- a/review/standin-2/src/lib.rs
+++ b/review/standin-2/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod head;
 pub mod discovery;
+pub mod fleet;
 pub mod http;
 pub mod ninep;
 pub mod record;
