Review, case 6: acknowledged changes of a tenant are undone in spite of If-Match

Cause: a read of a tenant gives the exports that the head serves with the version that the fleet's thread has, which may be the next one; written back, it passes the comparison.

--- a/review/standin-2/src/bin/case-6.rs
+++ b/review/standin-2/src/bin/case-6.rs
@@ -1,178 +1,150 @@
-//! Case 6: a guarded write that may have run goes out again after its window, when the head is held up for less than
-//! 0.15 s while it sends the further attempt.
+//! Case 6: two administrators change one tenant, each only if it stands at the version that was read; acknowledged changes
+//! are undone all the same.
 
-use review_2::discovery::{Discovery, Entry};
-use review_2::head::{Head, Start, send_signal, temporary_folder};
-use review_2::http::{self, Client, respond};
+use review_2::fleet::{Place, places};
+use review_2::head::{Head, temporary_folder};
 use review_2::record::Record;
-use review_2::settings::{HeadConfig, RequestHead};
-use review_2::{finish, free_address, has_trouble, listen};
-use std::collections::HashMap;
-use std::io::{BufReader, Read};
-use std::net::TcpStream;
-use std::sync::atomic::{AtomicU32, Ordering};
+use review_2::{cannot_run, finish, has_trouble};
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// `dedupWindow` of the class.
-const WINDOW: Duration = Duration::from_millis(200);
-/// What the protocol page adds to every time limit on sockets.
-const SLACK: Duration = Duration::from_millis(50);
-/// The page's limit: a head is held up for up to 0.15 s between reading its clock and writing.
-const HOLD: Duration = Duration::from_millis(115);
-/// How long before the end of the window the connection of the first attempt ends.
-const END_BEFORE_WINDOW: Duration = Duration::from_millis(20);
-const WRITES: u64 = 15;
-const PAUSE: Duration = Duration::from_millis(1500);
-/// Bytes of a write: "bodies reach 32 MB".
-const BODY: usize = 8 << 20;
-const BRICKS: usize = 9;
+const MEMORY_MB: u32 = 192;
+const RUN: Duration = Duration::from_secs(40);
+/// An administrator waits for up to so long between two changes.
+const MOST_PAUSE_MS: u64 = 20;
+const TENANT: &str = "/v1/tenants/horvat";
+/// The exports of the tenant; each administrator changes the tree of the one with the administrator's name.
+const EXPORTS: [&str; 2] = ["ana", "ivo"];
 
-/// What the bricks know of a write, as those of a group (`group`: all) know it together.
-#[derive(Default)]
-struct Known {
-    attempts: u32,
-    /// When the last byte of the attempt that was applied last had come.
-    applied_at: Option<Instant>,
-    times_applied: u32,
+/// The number in the tree of each export.
+type Trees = BTreeMap<String, u64>;
+
+/// A sequence of numbers that looks random, from a seed.
+struct Numbers(u64);
+
+impl Numbers {
+    fn next(&mut self, bound: u64) -> u64 {
+        self.0 = self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (self.0 >> 33) % bound
+    }
 }
 
-struct Bricks {
-    record: Record,
-    known: Mutex<HashMap<String, Known>>,
-    head: AtomicU32,
-    has_trouble: bool,
+fn body(trees: &Trees) -> String {
+    let exports: Vec<String> = trees
+        .iter()
+        .map(|(name, tree)| {
+            format!(
+                r#"{{"name":"{name}","tree":"v{tree}","plan":"osnovni","shard":3,"volume":"00000003b4d60021","heads":1,
+"readClass":"citanje","writeClass":"nova-datoteka","largeClass":"izvoz"}}"#
+            )
+        })
+        .collect();
+    format!("{{\"exports\":[{}]}}", exports.join(","))
 }
 
-impl Bricks {
-    fn serve(&self, name: &str, stream: TcpStream) {
-        let _ = stream.set_nodelay(true);
-        let Ok(mut writer) = stream.try_clone() else { return };
-        let mut reader = BufReader::with_capacity(256 * 1024, stream);
-        let mut body = vec![0; BODY];
-        while let Some(head) = http::Head::read(&mut reader) {
-            let began_at = Instant::now();
-            let id = head.field("request-id").to_owned();
-            let attempt = {
-                let mut known = self.known.lock().expect("what is known");
-                let known = known.entry(id.clone()).or_default();
-                known.attempts += 1;
-                known.attempts
-            };
-            self.record.line(&format!("{name}: attempt {attempt} of {id} begins to come"));
-            if attempt == 2 && self.has_trouble {
-                self.hold_head_up();
-            }
-            if reader.read_exact(&mut body[..head.content_length()]).is_err() {
-                self.record.line(&format!("{name}: attempt {attempt} of {id} broke off before its last byte"));
-                return;
-            }
-            let last_byte_at = Instant::now();
-            self.run(name, &id, attempt, last_byte_at);
-            if attempt == 1 {
-                // The connection ends under a request that has begun, and has run.
-                thread::sleep((began_at + WINDOW - END_BEFORE_WINDOW).saturating_duration_since(Instant::now()));
-                self.record.line(&format!("{name}: the connection ends under attempt 1 of {id}"));
-                return;
-            }
-            if respond(&mut writer, "200 OK", "", id.as_bytes()).is_err() {
-                return;
-            }
-        }
-    }
+/// What stands behind a key in a text of JSON, up to the end of the value.
+fn value<'a>(text: &'a str, key: &str) -> Option<&'a str> {
+    let rest = text.split(&format!("\"{key}\":")).nth(1)?.trim_start_matches('"');
+    rest.split(['"', ',', '}']).next()
+}
 
-    /// Applies a write, unless one with this id was applied within the window, and the slack, before.
-    fn run(&self, name: &str, id: &str, attempt: u32, last_byte_at: Instant) {
-        let mut known = self.known.lock().expect("what is known");
-        let known = known.entry(id.to_owned()).or_default();
-        let age = known.applied_at.map(|at| last_byte_at - at);
-        let is_repeat = age.is_some_and(|age| age <= WINDOW + SLACK);
-        if !is_repeat {
-            known.times_applied += 1;
-            known.applied_at = Some(last_byte_at);
-        }
-        let done = if is_repeat { "dropped as a repeat" } else { "APPLIED" };
-        let age = age.map_or(String::new(), |age| {
-            format!(", {:.1} ms after the last byte of the first attempt", age.as_secs_f64() * 1000.0)
-        });
-        self.record.line(&format!("{name}: last byte of attempt {attempt} of {id}: {done}{age}"));
+/// The trees and the version that an answer says.
+fn read(text: &str) -> Option<(Trees, u64)> {
+    let mut trees = Trees::new();
+    for export in text.split('}').filter(|export| export.contains("\"tree\":")) {
+        let tree = value(export, "tree")?.strip_prefix('v')?.parse().ok()?;
+        trees.insert(value(export, "name")?.to_owned(), tree);
     }
+    Some((trees, value(text, "version")?.parse().ok()?))
+}
 
-    /// Stops the head's process and lets it go on after `HOLD`.
-    fn hold_head_up(&self) {
-        let id = self.head.load(Ordering::SeqCst);
-        send_signal(id, "STOP");
-        let begun = Instant::now();
-        self.record.line("the head is held up");
-        thread::spawn(move || {
-            thread::sleep(HOLD - begun.elapsed());
-            send_signal(id, "CONT");
-        });
+/// What all administrators share.
+#[derive(Default)]
+struct Shared {
+    has_ended: AtomicBool,
+    acknowledged: AtomicU64,
+    refused: AtomicU64,
+    undone: Mutex<Vec<String>>,
+}
+
+/// Reads the tenant, changes the own export's tree, and writes the tenant if it still stands at the version that was read;
+/// again and again.
+fn administer(name: &str, place: &Place, seed: u64, shared: &Shared, record: &Record) {
+    let (mut numbers, mut last, mut last_version) = (Numbers(seed), 0, 0);
+    while !shared.has_ended.load(Ordering::SeqCst) {
+        let Some((200, text)) = place.call("GET", TENANT, "", "") else { continue };
+        let Some((mut trees, version)) = read(&text) else { cannot_run(&format!("cannot read {text}")) };
+        let found = trees[name];
+        if found < last {
+            let line = format!(
+                "{name} at {}: v{last}, acknowledged at version {last_version}, is UNDONE: v{found} at version {version}",
+                place.name
+            );
+            record.line(&line);
+            shared.undone.lock().expect("what was undone").push(line);
+            last = found;
+        }
+        trees.insert(name.to_owned(), found + 1);
+        let condition = format!("If-Match: \"{version}\"\r\n");
+        match place.call("PUT", TENANT, &condition, &body(&trees)) {
+            Some((200, _)) => {
+                (last, last_version) = (found + 1, version + 1);
+                shared.acknowledged.fetch_add(1, Ordering::SeqCst);
+                record.line(&format!("{name} at {}: {trees:?} if at {version}: 200", place.name));
+            }
+            Some((412, _)) => drop(shared.refused.fetch_add(1, Ordering::SeqCst)),
+            other => record.line(&format!("{name} at {}: if at {version}: {other:?}", place.name)),
+        }
+        thread::sleep(Duration::from_millis(numbers.next(MOST_PAUSE_MS)));
     }
 }
 
 fn main() {
     let record = Record::create();
-    let bricks = Arc::new(Bricks {
-        record: record.clone(),
-        known: Mutex::default(),
-        head: AtomicU32::default(),
-        has_trouble: has_trouble(),
-    });
-    let mut entries = Vec::new();
-    for number in 0..BRICKS {
-        let (listener, address) = listen();
-        let (bricks, id) = (Arc::clone(&bricks), format!("s-{number}"));
-        entries.push(Entry { id: id.clone(), address, shard: number as u32, lifecycle: "ready", started_at_ms: 0 });
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let (bricks, id) = (Arc::clone(&bricks), id.clone());
-                thread::spawn(move || bricks.serve(&id, stream));
-            }
-        });
-    }
-    let discovery = Discovery::start(entries);
     let folder = temporary_folder("6");
-    let listen = free_address();
-    let mut config = HeadConfig::new(listen, discovery.address);
-    config.known = discovery.json();
-    let write = config.classes.iter_mut().find(|class| class.writes).expect("a class that writes");
-    (write.repeat, write.dedup_window_us) = ("guarded", WINDOW.as_micros() as u64);
-    let timeout_ms = write.deadline_us / 1000;
-    let mut head = Head::start(&folder, &Start { config: config.json(), name: "n1", ..Start::default() });
-    bricks.head.store(head.id(), Ordering::SeqCst);
-    head.wait_until_healthy(listen);
-    let body = vec![b'p'; BODY];
-    for number in 0..WRITES {
-        let id = 0x6000_0000_0000_0000 + number;
-        let request = RequestHead {
-            method: "PUT",
-            class: "nova-datoteka",
-            id,
-            plan: "prioritetni",
-            volume: 0xb4d6_0021,
-            units: 6,
-            shard: -1,
-            timeout_ms,
-            body: BODY,
-        };
-        let answer = Client::connect(listen, Duration::from_secs(4)).ok().and_then(|mut client| {
-            client.send(&request.text(), &body).ok()?;
-            record.line(&format!("client: write {id:016x} sent"));
-            client.receive()
-        });
-        let status = answer.map_or("none".to_owned(), |(status, ..)| status.to_string());
-        record.line(&format!("client: answer to {id:016x}: {status}"));
-        thread::sleep(PAUSE);
+    let places = places(&folder, 3);
+    let mut heads: Vec<Head> = places.iter().map(|place| place.start(&places, MEMORY_MB)).collect();
+    let begun = Instant::now();
+    while !places[0].command(&["begin"]).0 {
+        if begun.elapsed() > Duration::from_secs(10) {
+            cannot_run("the fleet does not begin");
+        }
+        thread::sleep(Duration::from_millis(100));
+    }
+    let trees: Trees = EXPORTS.iter().map(|name| ((*name).to_owned(), 0)).collect();
+    while !matches!(places[0].call("PUT", TENANT, "", &body(&trees)), Some((200 | 201, _))) {
+        if begun.elapsed() > Duration::from_secs(20) {
+            cannot_run("the tenant is not put in place");
+        }
+        thread::sleep(Duration::from_millis(100));
+    }
+    for place in &places {
+        while !matches!(place.call("GET", TENANT, "", ""), Some((200, _))) {
+            thread::sleep(Duration::from_millis(50));
+        }
     }
-    let known = bricks.known.lock().expect("what is known");
-    let twice: Vec<&String> = known.iter().filter(|(_, known)| known.times_applied > 1).map(|(id, _)| id).collect();
-    let line = format!("{} writes, {} applied twice: {twice:?}", known.len(), twice.len());
+    let shared = Arc::new(Shared::default());
+    let administrators = if has_trouble() { 2 } else { 1 };
+    let threads: Vec<_> = (0..administrators)
+        .map(|number| {
+            let (place, shared, record) = (places[number + 1].clone(), Arc::clone(&shared), record.clone());
+            thread::spawn(move || administer(EXPORTS[number], &place, number as u64 + 1, &shared, &record))
+        })
+        .collect();
+    thread::sleep(RUN);
+    shared.has_ended.store(true, Ordering::SeqCst);
+    threads.into_iter().for_each(|thread| drop(thread.join()));
+    let undone = shared.undone.lock().expect("what was undone").len();
+    let line = format!(
+        "{} changes acknowledged, {} refused with 412; acknowledged changes undone: {undone}",
+        shared.acknowledged.load(Ordering::SeqCst),
+        shared.refused.load(Ordering::SeqCst),
+    );
     record.line(&line);
     println!("{line}");
-    let broken = !twice.is_empty();
-    drop(known);
-    head.kill();
-    finish(broken)
+    heads.iter_mut().for_each(Head::kill);
+    finish(undone > 0)
 }
