--- a/crates/config/src/policy_settings.rs
+++ b/crates/config/src/policy_settings.rs
@@ -37,7 +37,8 @@
 }
 
 /// Reads the settings of the controller. Unknown keys are ignored; absent optional ones mean that the rule they belong
-/// to does not apply. Faults stay with the pairs, in the order in which the keys are read.
+/// to does not apply. Faults stay with the pairs, in the order in which the keys are read. No key names the longest pause of
+/// a head: a program on a clock of its own sets it.
 pub fn settings(pairs: &Pairs) -> Settings {
     let class_count = pairs.count("classes.count", 1.0, MAX_U16, None);
     let classes = (0..class_count).map(|index| request_class(pairs, index)).collect();
@@ -48,6 +49,7 @@
     Settings {
         heads: pairs.count("balancers", 1.0, MAX_U16, None),
         tick: pairs.duration("period", Some(DEFAULT_TICK)),
+        max_pause: 0,
         zone: pairs.count("zone", 0.0, MAX_U16, Some(0.0)) as u16,
         classes,
         plans,
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -351,8 +351,17 @@
         request.attempt_in_flight = Some(attempt);
         let payload = Rc::clone(&request.payload);
         let respond_by = request.decision_deadline;
+        let begin_before = self.controller.latest_begin(id);
         self.timers.set(deadline, TimerKind::AttemptTimeout(id, attempt));
-        self.effects.push_back(Effect::Send { id, attempt, backend, deadline, respond_by, payload });
+        self.effects.push_back(Effect::Send {
+            id,
+            attempt,
+            backend,
+            deadline,
+            respond_by,
+            begin_before,
+            payload,
+        });
     }
 }
 
--- a/crates/dispatch/src/effect.rs
+++ b/crates/dispatch/src/effect.rs
@@ -31,6 +31,9 @@
         deadline: Micros,
         /// When the client must have its response, or the beginning of one that is passed on.
         respond_by: Micros,
+        /// Backends may take the attempt for a new request if it begins later, though an earlier one may have run. The
+        /// clock must show less right before the last byte of the request is written. `None`: no bound.
+        begin_before: Option<Micros>,
         /// The payload to send.
         payload: Rc<P>,
     },
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -10,6 +10,7 @@
 //! | --- | --- |
 //! | `turn` | the budget of one turn |
 //! | `stream` | connections: reads, writes with a stall time, discards |
+//! | `send_queue` | what was written to a connection and not sent yet |
 //! | `async_stream` | the same connections for code that is written against `AsyncRead` and `AsyncWrite` |
 //! | `listener` | accepts connections |
 //! | `datagrams` | UDP |
@@ -18,6 +19,7 @@
 mod async_stream;
 mod datagrams;
 mod listener;
+mod send_queue;
 mod stream;
 pub mod turn;
 
--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -107,6 +107,28 @@
         }
     }
 
+    /// Writes as much as the socket takes without waiting, and returns how many bytes; 0 if it takes none now.
+    ///
+    /// # Errors
+    /// The connection has broken; none of these bytes was taken.
+    pub fn write_now(&self, bytes: &[u8]) -> io::Result<usize> {
+        let written = match self.socket.try_write(bytes) {
+            Err(error) if is_retryable(&error) => Ok(0),
+            written => written,
+        };
+        self.turn.spend(*written.as_ref().unwrap_or(&0));
+        written
+    }
+
+    /// Waits until the socket may take bytes.
+    ///
+    /// # Errors
+    /// The connection has broken.
+    pub async fn writable(&self) -> io::Result<()> {
+        self.turn.yield_if_over().await;
+        self.turn.wait_for(self.socket.writable()).await
+    }
+
     /// Writes all bytes. Some part must be taken within each `stall_time`; `on_progress` is called with the length of
     /// each part.
     ///
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -106,7 +106,8 @@
     let class = &settings.classes[request.spec.class];
     let service_time = backend.map_or(0, |backend| backend.latency.mean() as Micros / 2);
     let is_out_of_time = now + service_time.max(2 * settings.tick) >= request.spec.deadline;
-    let is_deduplication_over = retry::is_deduplication_over(request, class, now + settings.tick);
+    let is_deduplication_over =
+        retry::is_deduplication_over(request, class, settings.max_pause, now + settings.tick);
 
     let latency = backend.map_or(0.0, |backend| backend.expected_latency(now));
     let is_overdue = now + latency as Micros > request.objective_deadline;
--- a/crates/policy/src/controller.rs
+++ b/crates/policy/src/controller.rs
@@ -10,7 +10,7 @@
 use crate::request::{FirstAttemptTimeouts, OpenRequest};
 use crate::retry::RetryBudget;
 use crate::timers::{Timer, Timers};
-use crate::{Action, Event, Micros, RequestId, Settings, UpdateScope};
+use crate::{Action, Event, Micros, RequestId, Settings, UpdateScope, retry};
 use std::collections::BTreeMap;
 
 /// Decides for one head. It depends only on its settings, its seed and its events: the same input gives the
@@ -61,6 +61,14 @@
         self.schedule_next_sweep(now, actions);
     }
 
+    /// The time before which an attempt of a request must begin, by a clock that is read right before the last byte of
+    /// the request is written; `None` where only its deadline bounds it.
+    pub fn latest_begin(&self, id: RequestId) -> Option<Micros> {
+        let request = self.requests.get(&id)?;
+        let class = &self.settings.classes[request.spec.class];
+        retry::latest_begin(request, class, self.settings.max_pause)
+    }
+
     /// The number of volumes that it knows, and of pairs of a volume and a backend whose demand it tracks. Both are
     /// bounded, whatever names clients give their volumes.
     pub fn tracked_volumes(&self) -> (usize, usize) {
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -49,27 +49,38 @@
 /// before the client's deadline. The caller checks the retry budget.
 pub(crate) fn may_retry(request: &OpenRequest, settings: &Settings, now: Micros) -> bool {
     let class = &settings.classes[request.spec.class];
-    may_run_again(request, class, now)
+    may_run_again(request, class, settings.max_pause, now)
         && request.attempts < settings.permissions.max_attempts
         && now + 2 * settings.tick < request.spec.deadline
 }
 
 /// Whether the request may be sent to a backend again because it cannot take effect twice.
-fn may_run_again(request: &OpenRequest, class: &RequestClass, now: Micros) -> bool {
+fn may_run_again(request: &OpenRequest, class: &RequestClass, max_pause: Micros, now: Micros) -> bool {
     match (class.idempotency, request.possibly_executed) {
         (Idempotency::Idempotent, _) | (_, None) => true,
         (Idempotency::NotIdempotent, Some(_)) => false,
-        (Idempotency::WithKey, Some(execution)) => now < execution.sent_at + class.deduplication_window,
+        (Idempotency::WithKey, Some(_)) => !is_deduplication_over(request, class, max_pause, now),
     }
 }
 
-/// Whether the deduplication window of a request that may have run is over at `time`, so that a backend could
-/// run it again.
-pub(crate) fn is_deduplication_over(request: &OpenRequest, class: &RequestClass, time: Micros) -> bool {
-    class.idempotency == Idempotency::WithKey
-        && request
-            .possibly_executed
-            .is_some_and(|execution| time >= execution.sent_at + class.deduplication_window)
+/// Whether a request that may have run can no longer begin again at `time`: a backend could begin it after its
+/// deduplication window, and run it twice.
+pub(crate) fn is_deduplication_over(
+    request: &OpenRequest,
+    class: &RequestClass,
+    max_pause: Micros,
+    time: Micros,
+) -> bool {
+    latest_begin(request, class, max_pause).is_some_and(|latest| time >= latest)
+}
+
+/// The time before which the clock must be read for the last byte of a further attempt; `None` where no window applies.
+///
+/// Backends drop duplicates for a window from the first attempt that may have run. They begin a request with its last
+/// byte, which may be written `max_pause` after the clock was read.
+pub(crate) fn latest_begin(request: &OpenRequest, class: &RequestClass, max_pause: Micros) -> Option<Micros> {
+    let execution = request.possibly_executed.filter(|_| class.idempotency == Idempotency::WithKey)?;
+    Some((execution.sent_at + class.deduplication_window).saturating_sub(max_pause))
 }
 
 /// Whether the client may retry the request through any head: it did not run, or running it again is safe.
--- a/crates/policy/src/scheduling.rs
+++ b/crates/policy/src/scheduling.rs
@@ -8,7 +8,7 @@
 use crate::backend::{Backend, RateControl};
 use crate::quota::VolumeQuota;
 use crate::request::OpenRequest;
-use crate::{Action, BackendId, Controller, Micros, RequestClass, RequestId, Settings};
+use crate::{Action, BackendId, Controller, Micros, RequestClass, RequestId, Settings, retry};
 
 /// Clusters of up to this many heads probe a congested backend at the full rate of each head; the heads of
 /// larger clusters share the rate of this many. The probes of 100 heads alone would keep a backend congested.
@@ -60,7 +60,8 @@
         let (mut first_best_effort, mut first_overdue) = (None, None);
         for id in backend.queue.iter() {
             let request = &self.requests[&id];
-            if !conditions.allow(request) || !self.key_order.allows(request.spec.key, id, now) {
+            if !conditions.allow(request, &self.settings) || !self.key_order.allows(request.spec.key, id, now)
+            {
                 continue;
             }
             let Some(quota) = self.quotas.get_mut(request.spec.volume) else { continue };
@@ -131,10 +132,14 @@
         })
     }
 
-    /// Whether slow start and the retry budget allow a request to be sent.
-    fn allow(&self, request: &OpenRequest) -> bool {
+    /// Whether slow start, the retry budget and the deduplication window allow a request to be sent. The last sweep,
+    /// which sheds requests past their window, may be some time ago.
+    fn allow(&self, request: &OpenRequest, settings: &Settings) -> bool {
         let is_retry = request.attempts > 0;
-        request.spec.units <= self.allowance && (!is_retry || self.allows_retry)
+        let class = &settings.classes[request.spec.class];
+        request.spec.units <= self.allowance
+            && (!is_retry || self.allows_retry)
+            && !retry::is_deduplication_over(request, class, settings.max_pause, self.now)
     }
 
     /// The band that a request is in; `None` while the limit of its volume holds it back.
--- a/crates/policy/src/settings.rs
+++ b/crates/policy/src/settings.rs
@@ -9,6 +9,8 @@
     pub heads: u32,
     /// Resolution of the head's clock: the shortest time between two events at different times.
     pub tick: Micros,
+    /// The longest time for which the head may be paused between reading its clock and acting on what it read.
+    pub max_pause: Micros,
     /// The zone of this head.
     pub zone: u16,
     /// Request classes; a request refers to one by its index.
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -45,6 +45,7 @@
     Settings {
         heads: 3,
         tick: 2 * MS,
+        max_pause: 0,
         zone: 0,
         classes: vec![
             class(300 * MS, 2 * SECOND, Idempotency::Idempotent),
--- a/crates/policy/tests/common/rules.rs
+++ b/crates/policy/tests/common/rules.rs
@@ -192,7 +192,8 @@
             match class.idempotency {
                 Idempotency::NotIdempotent => assert!(!may_have_run, "may run twice"),
                 Idempotency::WithKey if may_have_run => {
-                    let is_in_window = now <= attempt.sent_at + class.deduplication_window;
+                    let latest_begin = now + self.settings.max_pause;
+                    let is_in_window = latest_begin <= attempt.sent_at + class.deduplication_window;
                     assert!(attempt.backend == backend && is_in_window, "the duplicate might not be dropped");
                 }
                 _ => {}
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -53,6 +53,16 @@
     }
 }
 
+#[test]
+fn rules_hold_for_heads_that_are_paused_within_short_windows() {
+    let mut settings = settings();
+    settings.max_pause = 150 * MS;
+    for window in [100 * MS, 200 * MS, 400 * MS] {
+        settings.classes[WITH_KEY].deduplication_window = window;
+        simulate_all(&settings);
+    }
+}
+
 #[test]
 fn rules_hold_for_a_different_deployment() {
     // No reservations, a limit on every plan, load reports, no cancelling of attempts, only idempotent
--- a/crates/sedgerun/src/backend/attempt_context.rs
+++ b/crates/sedgerun/src/backend/attempt_context.rs
@@ -1,5 +1,6 @@
-//! What an attempt is given: its deadline, and whom it tells how far it has got.
+//! What an attempt is given: its times, and whom it tells how far it has got.
 
+use super::begin_check::BeginCheck;
 use crate::clock::Clock;
 use sedgerun_dispatch::AttemptStage;
 use sedgerun_policy::{AttemptEnd, Micros};
@@ -17,8 +18,7 @@
     TransferEnded(AttemptEnd),
 }
 
-/// The progress of an attempt, which its connection advances and the dispatch service reads. An attempt of which
-/// nothing has been passed to a connection can be cancelled with the certainty that the backend never ran it.
+/// The progress of an attempt, which its connection advances and the dispatch service reads.
 #[derive(Clone)]
 pub struct AttemptProgress {
     stage: Rc<Cell<AttemptStage>>,
@@ -58,6 +58,8 @@
     pub deadline: Micros,
     /// When the client must have its response, or the beginning of one that is passed on, by that clock.
     pub respond_by: Micros,
+    /// Whether the attempt may begin, asked right before the last byte of its request is written.
+    pub begin_check: BeginCheck,
     /// The attempt's progress.
     pub progress: AttemptProgress,
 }
--- a/crates/sedgerun/src/backend/http/connection.rs
+++ b/crates/sedgerun/src/backend/http/connection.rs
@@ -1,5 +1,6 @@
 //! One HTTP/1.1 connection to a backend or to discovery: opens it, writes requests and reads the heads of responses.
 
+use crate::backend::{BeginCheck, CalledOff};
 use crate::descriptors::{DescriptorPermit, Descriptors};
 use crate::http1::{
     BodyError, BodyFraming, HeadError, ReceiveBuffer, ResponseHead, parse_response, write_message,
@@ -21,6 +22,9 @@
 const MAX_INFORMATIONAL_HEADS: usize = 16;
 /// The informational status after which the connection no longer carries HTTP.
 const SWITCHING_PROTOCOLS: u16 = 101;
+/// Bytes that go out at once on a connection with nothing in flight, whatever its peer does: the initial congestion window
+/// of ten segments.
+const INITIAL_WINDOW_BYTES: usize = 10 * 1460;
 /// Time before a connection is tried again for which the system had no resources.
 const OPEN_RETRY_PAUSE: Duration = Duration::from_millis(10);
 /// Failures that say that this system lacks resources for the moment: no descriptors (`ENFILE`, `EMFILE`), no memory
@@ -73,6 +77,17 @@
     Failed(io::Error),
 }
 
+/// Why a request was not written to its last byte. It never runs.
+#[derive(Debug, Error)]
+pub enum SendError {
+    /// The connection has broken or stalled.
+    #[error(transparent)]
+    Connection(#[from] io::Error),
+    /// The attempt may not begin any more.
+    #[error(transparent)]
+    CalledOff(#[from] CalledOff),
+}
+
 /// Why a response cannot be used. The request may have run, and the connection cannot be reused.
 #[derive(Debug, Error)]
 pub enum ResponseError {
@@ -137,10 +152,21 @@
     pub(super) stream: Stream,
     pub(super) received: ReceiveBuffer,
     traffic: Option<Arc<Traffic>>,
+    /// A request was begun to be written, and no final response has come.
+    is_request_open: bool,
     /// Held for the lifetime of the connection.
     _descriptor: DescriptorPermit,
 }
 
+impl Drop for Connection {
+    /// Closes the connection. What of an open request lies in the send queue would otherwise reach the backend later.
+    fn drop(&mut self) {
+        if self.is_request_open {
+            self.stream.discard_unsent_on_close();
+        }
+    }
+}
+
 impl Connection {
     /// Opens a connection within `dial_timeout`. A failure for want of this system's resources passes; the connection
     /// is tried again until the timeout.
@@ -162,6 +188,7 @@
             stream,
             received: ReceiveBuffer::new(RECEIVE_BUFFER_BYTES, &resources.head_budget),
             traffic: resources.traffic.clone(),
+            is_request_open: false,
             _descriptor: descriptor,
         })
     }
@@ -180,6 +207,67 @@
         Ok(())
     }
 
+    /// Writes the request of an attempt, which its backend begins with the last byte. Right before that byte is written,
+    /// with nothing before it left in the send queue, the attempt is checked once more. The system must take a part within
+    /// `stall_time`; the caller bounds the time in which the backend takes what lies in the send queue.
+    ///
+    /// # Errors
+    /// The attempt may not begin any more, or the connection has broken or stalled. The last byte was not written, so the
+    /// request never runs.
+    pub async fn send_attempt(
+        &mut self,
+        head: &[u8],
+        body: &[u8],
+        stall_time: Duration,
+        check: &BeginCheck,
+    ) -> Result<(), SendError> {
+        self.is_request_open = true;
+        if head.len() + body.len() <= INITIAL_WINDOW_BYTES {
+            return self.send_end(&[head, body].concat(), stall_time, check).await;
+        }
+        let (head, body, last) = match body.split_last_chunk::<1>() {
+            Some((body, last)) => (head, body, last.as_slice()),
+            None => (&head[..head.len() - 1], body, &head[head.len() - 1..]),
+        };
+        write_message(&self.stream, head, body, stall_time, |_| {}).await?;
+        self.stream.wait_until_sent().await?;
+        self.send_end(last, stall_time, check).await
+    }
+
+    /// Writes the end of an attempt's request, of which nothing is in the send queue yet.
+    async fn send_end(
+        &self,
+        mut end: &[u8],
+        stall_time: Duration,
+        check: &BeginCheck,
+    ) -> Result<(), SendError> {
+        loop {
+            check.heed_news().await;
+            if let Some(timeout) = check.acknowledgement_timeout() {
+                self.stream.set_acknowledgement_timeout(Some(timeout));
+            }
+            check.ask()?;
+            let written = self.stream.write_now(end)?;
+            if written == end.len() {
+                check.record_begun();
+                return Ok(());
+            }
+            if written == 0 {
+                let writable = tokio::time::timeout(stall_time, self.stream.writable()).await;
+                writable.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+            }
+            let (front, last) = end[written..].split_at(end.len() - written - 1);
+            self.stream.write_all(front, stall_time, |_| {}).await?;
+            self.stream.wait_until_sent().await?;
+            end = last;
+        }
+    }
+
+    /// Lets the request of the next attempt be acknowledged at any time.
+    pub(super) fn clear_acknowledgement_timeout(&self) {
+        self.stream.set_acknowledgement_timeout(None);
+    }
+
     /// Reads the final head of a response; calls `on_partial` when a part of the response has arrived and its final head
     /// is not complete.
     ///
@@ -194,7 +282,10 @@
             match summary.status {
                 SWITCHING_PROTOCOLS => return Err(ResponseError::NoFinalHead),
                 100..=199 => on_partial(),
-                _ => return Ok(summary),
+                _ => {
+                    self.is_request_open = false;
+                    return Ok(summary);
+                }
             }
         }
         Err(ResponseError::NoFinalHead)
--- a/crates/sedgerun/src/backend/http/mod.rs
+++ b/crates/sedgerun/src/backend/http/mod.rs
@@ -17,7 +17,7 @@
 
 pub use connection::{
     Connection, ConnectionResources, ConnectionTimeouts, MAX_HEAD_BYTES, OpenError, RECEIVE_BUFFER_BYTES,
-    ResponseError, ResponseSummary,
+    ResponseError, ResponseSummary, SendError,
 };
 pub use idle_connections::IdleConnections;
 pub use response_body::{BodyReader, BufferedBody, HttpResponseBody, StreamedBody, WholeBody, receive_body};
@@ -163,11 +163,7 @@
         request: &HttpBackendRequest,
         address: SocketAddr,
     ) -> Result<AttemptResult<BackendResponse>, AttemptEnd> {
-        let time_left = context.time_left();
-        let head = request_head(request, address, time_left / 1000);
-        context.progress.advance(AttemptStage::Sending);
-        let sent =
-            connection.send(head.as_bytes(), &request.body, Duration::from_micros(time_left.max(1))).await;
+        let sent = send_request(&mut connection, context, request, address).await;
         sent.map_err(|error| {
             tracing::info!("request {}: not written to {address}: {error}", request.id);
             attempt_end_of_send_error(&error)
@@ -190,6 +186,9 @@
     ) -> Result<AttemptResult<BackendResponse>, ResponseError> {
         let on_partial = || context.progress.advance(AttemptStage::ReceivingResponse);
         let summary = connection.read_head(on_partial).await?;
+        if context.begin_check.acknowledgement_timeout().is_some() {
+            connection.clear_acknowledgement_timeout();
+        }
         let end = attempt_end_of_response(&summary);
         let report = LoadReport::of(&summary);
         let reader = BodyReader::new(connection, summary.framing, summary.keep_alive.then_some(connections));
@@ -209,6 +208,26 @@
     }
 }
 
+/// Writes an attempt's request, unless the attempt may not begin any more.
+async fn send_request(
+    connection: &mut Connection,
+    context: &AttemptContext,
+    request: &HttpBackendRequest,
+    address: SocketAddr,
+) -> Result<(), SendError> {
+    let check = &context.begin_check;
+    check.heed_news().await;
+    check.ask()?;
+    let time_left = context.time_left();
+    let head = request_head(request, address, time_left / 1000);
+    context.progress.advance(AttemptStage::Sending);
+    let stall_time = Duration::from_micros(time_left.max(1));
+    let sending = connection.send_attempt(head.as_bytes(), &request.body, stall_time, check);
+    let begin_before = context.clock.instant(check.begin_before());
+    let sent = tokio::time::timeout_at(begin_before.into(), sending).await;
+    sent.unwrap_or_else(|_| Err(check.call_off().into()))
+}
+
 /// Reads a body that nobody needs to its end, so that its connection can be reused; closes the connection of a large
 /// or slow one.
 fn discard_body(mut reader: BodyReader, framing: BodyFraming) {
--- a/crates/sedgerun/src/backend/http/outcome.rs
+++ b/crates/sedgerun/src/backend/http/outcome.rs
@@ -1,8 +1,8 @@
 //! Derives the outcome of an attempt from a backend's response, or from what has become of its connection.
 
-use super::connection::{OpenError, ResponseSummary};
+use super::connection::{OpenError, ResponseSummary, SendError};
 use sedgerun_policy::AttemptEnd;
-use std::io;
+use std::io::ErrorKind;
 
 /// The largest value that a backend can report: the simulator's protocol encodes it in 16 bits.
 const MAX_REPORTED_VALUE: f64 = 65_535.0;
@@ -51,9 +51,10 @@
 }
 
 /// How an attempt ended whose request was not written to its last byte: it never ran.
-pub(super) fn attempt_end_of_send_error(error: &io::Error) -> AttemptEnd {
-    match error.kind() {
-        io::ErrorKind::TimedOut => AttemptEnd::ConnectTimeout,
-        _ => AttemptEnd::ConnectFailed,
+pub(super) fn attempt_end_of_send_error(error: &SendError) -> AttemptEnd {
+    match error {
+        SendError::CalledOff(_) => AttemptEnd::CancelledUnsent,
+        SendError::Connection(error) if error.kind() == ErrorKind::TimedOut => AttemptEnd::ConnectTimeout,
+        SendError::Connection(_) => AttemptEnd::ConnectFailed,
     }
 }
--- a/crates/sedgerun/src/backend/mod.rs
+++ b/crates/sedgerun/src/backend/mod.rs
@@ -5,6 +5,7 @@
 
 mod attempt_context;
 mod backend_names;
+mod begin_check;
 pub mod http;
 pub mod ninep;
 pub mod pool;
@@ -12,6 +13,7 @@
 
 pub use attempt_context::{AttemptContext, AttemptProgress, AttemptReport};
 pub use backend_names::BackendNames;
+pub use begin_check::{BeginCheck, CalledOff};
 pub use transfer::Transfer;
 
 use crate::descriptors::Descriptors;
@@ -31,6 +33,24 @@
     Ninep(ninep::NinePBackendRequest),
 }
 
+impl BackendRequest {
+    /// Whether it reaches its backend in one message, and not in several with waits between them.
+    pub fn is_one_message(&self) -> bool {
+        matches!(self, BackendRequest::Http(_))
+    }
+}
+
+impl std::fmt::Display for BackendRequest {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            BackendRequest::Http(request) => write!(formatter, "request {}", request.id),
+            BackendRequest::Ninep(request) => {
+                write!(formatter, "9P {} of /{}", request.op.name(), request.path.join("/"))
+            }
+        }
+    }
+}
+
 /// A backend's response, in the protocol of the request.
 #[derive(Debug)]
 pub enum BackendResponse {
--- a/crates/sedgerun/src/backend/ninep/connection.rs
+++ b/crates/sedgerun/src/backend/ninep/connection.rs
@@ -1,11 +1,12 @@
 //! A connection to a 9P backend, shared by all attempts at it: calls, responses, flushes and close.
 //!
-//! Two tasks serve a connection: one writes queued frames, the other delivers responses. Both end with the
-//! connection. This module only exchanges messages; [`super::operation`] composes operations of them.
+//! Two tasks serve a connection: [`super::frame_writer`] writes queued frames, the other delivers responses. Both end
+//! with the connection. This module only exchanges messages; [`super::operation`] composes operations of them.
 
 use super::fids::{FidGuard, FidTable};
+use super::frame_writer::{FrameRole, QueuedFrame, write_frames};
 use super::in_flight::{InFlightTags, UnexpectedResponse};
-use crate::backend::AttemptProgress;
+use crate::backend::{AttemptContext, AttemptProgress, BeginCheck, CalledOff};
 use crate::descriptors::DescriptorPermit;
 use crate::memory_budget::MemoryBudget;
 use futures_util::FutureExt;
@@ -19,15 +20,12 @@
 use std::net::SocketAddr;
 use std::ops::Deref;
 use std::rc::{Rc, Weak};
-use std::time::Duration;
 use thiserror::Error;
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 
 /// Capacity of the queue of frames to write. The limit on attempts at a backend is well below it.
 const MAX_QUEUED_FRAMES: usize = 512;
-/// Time in which a backend must take some part of a frame.
-const WRITE_STALL_TIME: Duration = Duration::from_secs(5);
 /// The length field of a frame.
 const LENGTH_BYTES: usize = 4;
 /// The length, type and tag of a frame.
@@ -38,6 +36,17 @@
 #[error("connection to the 9P backend lost")]
 pub(super) struct ConnectionLost;
 
+/// Why a call of an attempt has no response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub(super) enum CallError {
+    /// The connection has ended.
+    #[error(transparent)]
+    ConnectionLost(#[from] ConnectionLost),
+    /// The message was not sent, as the attempt may not go on.
+    #[error(transparent)]
+    CalledOff(#[from] CalledOff),
+}
+
 /// Why no further response is read from a connection.
 #[derive(Debug, Error)]
 enum ReadError {
@@ -55,7 +64,8 @@
 /// A connection to a 9P backend.
 pub(super) struct Connection {
     address: SocketAddr,
-    frames: mpsc::Sender<Vec<u8>>,
+    stream: Rc<Stream>,
+    frames: mpsc::Sender<QueuedFrame>,
     in_flight: RefCell<InFlightTags>,
     pub(super) fids: RefCell<FidTable>,
     is_closed: Cell<bool>,
@@ -68,7 +78,7 @@
 
 impl Drop for Connection {
     fn drop(&mut self) {
-        self.abort_tasks();
+        self.end();
     }
 }
 
@@ -91,19 +101,30 @@
 pub(super) struct AttemptConnection {
     connection: Rc<Connection>,
     progress: AttemptProgress,
+    begin_check: BeginCheck,
 }
 
 impl AttemptConnection {
-    pub(super) fn new(connection: Rc<Connection>, progress: AttemptProgress) -> AttemptConnection {
-        AttemptConnection { connection, progress }
+    pub(super) fn new(connection: Rc<Connection>, context: &AttemptContext) -> AttemptConnection {
+        let (progress, begin_check) = (context.progress.clone(), context.begin_check.clone());
+        AttemptConnection { connection, progress, begin_check }
     }
 
-    /// Sends a message and waits for its response; a response that comes in parts updates the progress. Dropping the future sends a
-    /// `Tflush` for the message.
-    pub(super) async fn call(&self, message: Message) -> Result<Message, ConnectionLost> {
+    /// Sends a message that prepares the operation, and waits for its response; a response that comes in parts updates
+    /// the progress. Dropping the future sends a `Tflush` for the message.
+    pub(super) async fn call(&self, message: Message) -> Result<Message, CallError> {
+        self.call_as(FrameRole::Preparation(self.begin_check.clone()), message).await
+    }
+
+    /// As [`call`](Self::call), for the message with which the backend begins the operation.
+    pub(super) async fn begin(&self, message: Message) -> Result<Message, CallError> {
+        self.call_as(FrameRole::Beginning(self.begin_check.clone()), message).await
+    }
+
+    async fn call_as(&self, role: FrameRole, message: Message) -> Result<Message, CallError> {
         self.progress.advance(AttemptStage::AwaitingResponse);
         let tag = self.connection.next_free_tag()?;
-        self.connection.call_with_tag(tag, message, Some(self.progress.clone())).await
+        self.connection.call_with_tag(tag, role, message, Some(self.progress.clone())).await
     }
 }
 
@@ -123,9 +144,10 @@
         roots: MemoryBudget,
     ) -> Result<Rc<Connection>, ConnectionLost> {
         let stream = Rc::new(Stream::connect(address).await.map_err(|_| ConnectionLost)?);
-        let (frames, queue) = mpsc::channel::<Vec<u8>>(MAX_QUEUED_FRAMES);
+        let (frames, queue) = mpsc::channel(MAX_QUEUED_FRAMES);
         let connection = Rc::new(Connection {
             address,
+            stream: Rc::clone(&stream),
             frames,
             in_flight: RefCell::default(),
             fids: RefCell::new(FidTable::new(roots)),
@@ -143,7 +165,8 @@
 
     async fn negotiate_version(&self) -> Result<(), ConnectionLost> {
         let version = Message::Tversion { msize: MAX_MESSAGE_SIZE, version: VERSION.into() };
-        match self.call_with_tag(NO_TAG, version, None).await? {
+        let response = self.call_with_tag(NO_TAG, FrameRole::Housekeeping, version, None).await;
+        match response.map_err(|_| ConnectionLost)? {
             Message::Rversion { msize, version } if version == VERSION && msize > 2 * IO_HEADER_SIZE => {
                 self.max_message_bytes.set(msize.min(MAX_MESSAGE_SIZE));
                 Ok(())
@@ -153,13 +176,16 @@
     }
 
     /// Closes the connection. Calls that wait for a response fail.
-    pub(super) fn close(&self) {
+    pub(super) fn close(&self, reason: &impl std::fmt::Display) {
+        tracing::info!("9P connection to {}: closed: {reason}", self.address);
         self.is_closed.set(true);
         self.in_flight.borrow_mut().clear();
-        self.abort_tasks();
+        self.end();
     }
 
-    fn abort_tasks(&self) {
+    /// Ends the tasks and, with them, the connection. What was not sent yet never reaches the backend.
+    fn end(&self) {
+        self.stream.discard_unsent_on_close();
         self.tasks.borrow().iter().for_each(AbortHandle::abort);
     }
 
@@ -181,21 +207,34 @@
     async fn call_with_tag(
         &self,
         tag: u16,
+        role: FrameRole,
         message: Message,
         progress: Option<AttemptProgress>,
-    ) -> Result<Message, ConnectionLost> {
+    ) -> Result<Message, CallError> {
         if self.is_closed.get() {
-            return Err(ConnectionLost);
+            return Err(ConnectionLost.into());
         }
         let receiver = self.in_flight.borrow_mut().insert_call(tag, progress);
         let mut call = PendingCall { connection: self, tag, is_complete: false };
-        let is_sent = self.send(tag, &message);
-        let response = if is_sent { receiver.await.map_err(|_| ConnectionLost) } else { Err(ConnectionLost) };
-        call.is_complete = true;
-        if !is_sent {
+        let is_queued = self.send(tag, role, &message);
+        let response = if is_queued {
+            receiver.await.map_err(|_| ConnectionLost)
+        } else {
             self.in_flight.borrow_mut().remove(tag);
-        }
-        response
+            Err(ConnectionLost)
+        };
+        call.is_complete = true;
+        Ok(response??)
+    }
+
+    /// Fails the call with a tag, whose message was not sent.
+    pub(super) fn call_off(&self, tag: u16, called_off: CalledOff) {
+        self.in_flight.borrow_mut().call_off(tag, called_off);
+    }
+
+    /// Whether no message but the one with this tag is in flight.
+    pub(super) fn is_only_call(&self, tag: u16) -> bool {
+        self.in_flight.borrow().has_only(tag)
     }
 
     /// Sends a `Tflush` for a call whose caller has been dropped.
@@ -203,7 +242,7 @@
         let Ok(tag) = self.next_free_tag() else { return };
         let mut in_flight = self.in_flight.borrow_mut();
         in_flight.cancel(flushed_tag);
-        if self.send(tag, &Message::Tflush { oldtag: flushed_tag }) {
+        if self.send(tag, FrameRole::Housekeeping, &Message::Tflush { oldtag: flushed_tag }) {
             in_flight.insert_flush(tag, flushed_tag);
         }
     }
@@ -214,7 +253,7 @@
         let stale = self.fids.borrow_mut().take_stale();
         for fid in stale {
             let Ok(tag) = self.next_free_tag() else { return };
-            if self.send(tag, &Message::Tclunk { fid }) {
+            if self.send(tag, FrameRole::Housekeeping, &Message::Tclunk { fid }) {
                 // Recorded as a flush of its own tag: any response frees the tag.
                 self.in_flight.borrow_mut().insert_flush(tag, tag);
             }
@@ -226,20 +265,8 @@
     }
 
     /// Queues a message. Returns `false` if the queue is full or the connection is closed.
-    fn send(&self, tag: u16, message: &Message) -> bool {
-        self.frames.try_send(message.encode(tag)).is_ok()
-    }
-}
-
-/// Writes queued frames until the socket fails, the backend takes none for [`WRITE_STALL_TIME`], or the connection is
-/// dropped.
-async fn write_frames(mut queue: mpsc::Receiver<Vec<u8>>, stream: Rc<Stream>, connection: Weak<Connection>) {
-    while let Some(frame) = queue.recv().await {
-        if let Err(error) = stream.write_all(&frame, WRITE_STALL_TIME, |_| {}).await {
-            let Some(connection) = connection.upgrade() else { return };
-            tracing::info!("9P connection to {}: closed, writing failed: {error}", connection.address);
-            return connection.close();
-        }
+    fn send(&self, tag: u16, role: FrameRole, message: &Message) -> bool {
+        self.frames.try_send(QueuedFrame { tag, bytes: message.encode(tag), role }).is_ok()
     }
 }
 
@@ -254,8 +281,7 @@
             in_flight.deliver(tag, message).map_err(ReadError::Unexpected)
         });
         if let Err(error) = delivered {
-            tracing::info!("9P connection to {}: closed: {error}", connection.address);
-            return connection.close();
+            return connection.close(&error);
         }
     }
 }
--- a/crates/sedgerun/src/backend/ninep/files.rs
+++ b/crates/sedgerun/src/backend/ninep/files.rs
@@ -3,7 +3,7 @@
 //!
 //! An attempt walks from the backend's root and so needs no state of earlier attempts.
 
-use super::connection::{AttemptConnection, ConnectionLost};
+use super::connection::{AttemptConnection, CallError};
 use super::fids::FidGuard;
 use super::request::{FileOperation, NinePBackendRequest};
 use super::roots::{Root, TreeKey};
@@ -12,16 +12,16 @@
 
 /// Why an operation ended before its last step.
 pub(super) enum OperationStopped {
-    /// The connection was lost.
-    ConnectionLost,
+    /// A call has no response.
+    Call(CallError),
     /// The backend's response to an earlier step, such as an error, which becomes the response to the
     /// operation.
     Response(Message),
 }
 
-impl From<ConnectionLost> for OperationStopped {
-    fn from(ConnectionLost: ConnectionLost) -> OperationStopped {
-        OperationStopped::ConnectionLost
+impl From<CallError> for OperationStopped {
+    fn from(error: CallError) -> OperationStopped {
+        OperationStopped::Call(error)
     }
 }
 
--- a/crates/sedgerun/src/backend/ninep/in_flight.rs
+++ b/crates/sedgerun/src/backend/ninep/in_flight.rs
@@ -1,6 +1,6 @@
 //! The tags in use on a connection, each with the receiver of its response.
 
-use crate::backend::AttemptProgress;
+use crate::backend::{AttemptProgress, CalledOff};
 use sedgerun_protocol_9p::{Message, NO_TAG};
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -19,7 +19,7 @@
 /// The receiver of the response with a tag.
 enum Waiter {
     /// The caller that sent the message, and the progress to update when a part of the response arrives.
-    Call { response: oneshot::Sender<Message>, progress: Option<AttemptProgress> },
+    Call { response: oneshot::Sender<Result<Message, CalledOff>>, progress: Option<AttemptProgress> },
     /// The caller has been dropped. The tag stays in use until the response to its `Tflush`.
     Cancelled,
     /// A `Tflush` of another tag; or a `Tclunk`, which is recorded as a flush of its own tag.
@@ -51,7 +51,7 @@
         &mut self,
         tag: u16,
         progress: Option<AttemptProgress>,
-    ) -> oneshot::Receiver<Message> {
+    ) -> oneshot::Receiver<Result<Message, CalledOff>> {
         let (response, receiver) = oneshot::channel();
         self.waiters.insert(tag, Waiter::Call { response, progress });
         receiver
@@ -75,6 +75,21 @@
         self.waiters.insert(tag, Waiter::Cancelled);
     }
 
+    /// Fails the call with a tag, whose message was not sent, and frees the tag. The tag of a caller that has been dropped
+    /// stays in use until the response to its `Tflush`.
+    pub(super) fn call_off(&mut self, tag: u16, called_off: CalledOff) {
+        if let Some(Waiter::Call { .. }) = self.waiters.get(&tag)
+            && let Some(Waiter::Call { response, .. }) = self.waiters.remove(&tag)
+        {
+            let _ = response.send(Err(called_off));
+        }
+    }
+
+    /// Whether no other tag is in use.
+    pub(super) fn has_only(&self, tag: u16) -> bool {
+        self.waiters.keys().all(|used| *used == tag)
+    }
+
     /// Frees a tag whose message was not sent.
     pub(super) fn remove(&mut self, tag: u16) {
         self.waiters.remove(&tag);
@@ -93,7 +108,7 @@
         match self.waiters.remove(&tag) {
             Some(Waiter::Call { response, .. }) => {
                 // Fails where the caller has just been dropped.
-                let _ = response.send(message);
+                let _ = response.send(Ok(message));
             }
             Some(Waiter::Flush { flushed_tag, .. }) => {
                 self.waiters.remove(&flushed_tag);
--- a/crates/sedgerun/src/backend/ninep/mod.rs
+++ b/crates/sedgerun/src/backend/ninep/mod.rs
@@ -6,6 +6,7 @@
 mod connection;
 mod fids;
 mod files;
+mod frame_writer;
 mod in_flight;
 mod operation;
 mod request;
@@ -16,7 +17,7 @@
 use super::{AttemptContext, BackendResponse};
 use crate::descriptors::Descriptors;
 use crate::memory_budget::MemoryBudget;
-use connection::{AttemptConnection, Connection, ConnectionLost};
+use connection::{AttemptConnection, CallError, Connection, ConnectionLost};
 use operation::Operation;
 use sedgerun_dispatch::{AttemptResult, AttemptStage};
 use sedgerun_policy::{AttemptEnd, BackendId};
@@ -67,7 +68,7 @@
             return Ok(Rc::clone(connection));
         }
         if let Some(old) = current.take() {
-            old.close();
+            old.close(&"a Tflush had no response");
         }
         let opening = Connection::open(address, self.descriptors.acquire(), self.root_memory.clone());
         let connection = tokio::time::timeout(self.connect_timeout, opening)
@@ -91,18 +92,22 @@
             Err(end) => return AttemptResult::without_response(end),
         };
         context.progress.advance(AttemptStage::AwaitingResponse);
-        let connection = AttemptConnection::new(connection, context.progress.clone());
-        let mut operation = Operation::new(&connection, request);
-        match operation.run().await {
+        let connection = AttemptConnection::new(connection, context);
+        let may_have_run = || request.op.has_effect() && context.begin_check.has_begun();
+        match Operation::new(&connection, request).run().await {
             Ok(message) => AttemptResult {
                 response: Some(BackendResponse::Ninep(message)),
                 ..AttemptResult::without_response(AttemptEnd::Ok)
             },
-            // The connection was lost before the message with an effect was sent: the operation never ran.
-            Err(ConnectionLost) if !operation.effect_sent() => {
-                AttemptResult::without_response(AttemptEnd::ConnectFailed)
+            Err(CallError::ConnectionLost(_)) if may_have_run() => {
+                AttemptResult::without_response(AttemptEnd::Reset)
+            }
+            // The connection was lost before a message with an effect was sent: the operation never ran.
+            Err(CallError::ConnectionLost(_)) => AttemptResult::without_response(AttemptEnd::ConnectFailed),
+            Err(CallError::CalledOff(error)) => {
+                tracing::info!("9P {} at {address}: not sent: {error}", request.op.name());
+                AttemptResult::without_response(AttemptEnd::CancelledUnsent)
             }
-            Err(ConnectionLost) => AttemptResult::without_response(AttemptEnd::Reset),
         }
     }
 
--- a/crates/sedgerun/src/backend/ninep/operation.rs
+++ b/crates/sedgerun/src/backend/ninep/operation.rs
@@ -1,6 +1,6 @@
 //! Runs one operation of a 9P client as a sequence of messages on a backend's connection.
 
-use super::connection::{AttemptConnection, ConnectionLost};
+use super::connection::{AttemptConnection, CallError};
 use super::fids::FidGuard;
 use super::files::{OperationStopped, attach, resume, walk};
 use super::request::{FileOperation, NinePBackendRequest};
@@ -13,33 +13,27 @@
 pub(super) struct Operation<'a> {
     connection: &'a AttemptConnection,
     request: &'a NinePBackendRequest,
-    effect_sent: bool,
 }
 
 impl<'a> Operation<'a> {
     pub(super) fn new(connection: &'a AttemptConnection, request: &'a NinePBackendRequest) -> Operation<'a> {
-        Operation { connection, request, effect_sent: false }
-    }
-
-    /// Whether the message that may have an effect at the backend has been sent.
-    pub(super) fn effect_sent(&self) -> bool {
-        self.effect_sent
+        Operation { connection, request }
     }
 
     /// Runs the operation and returns the backend's response.
     ///
     /// # Errors
     ///
-    /// The connection was lost. [`effect_sent`](Self::effect_sent) tells whether the operation may have run.
-    pub(super) async fn run(&mut self) -> Result<Message, ConnectionLost> {
+    /// The connection was lost, or the attempt was called off before the operation began.
+    pub(super) async fn run(&self) -> Result<Message, CallError> {
         self.connection.clunk_stale();
         match self.execute().await {
             Ok(response) | Err(OperationStopped::Response(response)) => Ok(response),
-            Err(OperationStopped::ConnectionLost) => Err(ConnectionLost),
+            Err(OperationStopped::Call(error)) => Err(error),
         }
     }
 
-    async fn execute(&mut self) -> OperationResult {
+    async fn execute(&self) -> OperationResult {
         match &self.request.op {
             FileOperation::Attach => {
                 let root = attach(self.connection, self.request).await?;
@@ -52,16 +46,16 @@
             FileOperation::Write { offset, data } => self.write(*offset, data).await,
             FileOperation::Stat => {
                 let file = self.walk().await?;
-                Ok(self.connection.call(Message::Tstat { fid: file.fid() }).await?)
+                self.begin(Message::Tstat { fid: file.fid() }).await
             }
             FileOperation::Wstat { stat } => {
                 let file = self.walk().await?;
-                self.call_with_effect(Message::Twstat { fid: file.fid(), stat: stat.clone() }).await
+                self.begin(Message::Twstat { fid: file.fid(), stat: stat.clone() }).await
             }
             FileOperation::Remove => {
                 let file = self.walk().await?;
                 let fid = file.keep(); // Tremove clunks the fid even if it fails
-                self.call_with_effect(Message::Tremove { fid }).await
+                self.begin(Message::Tremove { fid }).await
             }
         }
     }
@@ -70,23 +64,23 @@
         let from = self.walk().await?;
         let to = self.connection.new_fid();
         let walk = Message::Twalk { fid: from.fid(), newfid: to.fid(), names: names.to_vec() };
-        Ok(self.connection.call(walk).await?)
+        self.begin(walk).await
     }
 
-    async fn open(&mut self, mode: u8) -> OperationResult {
+    async fn open(&self, mode: u8) -> OperationResult {
         let file = self.walk().await?;
         let open = Message::Topen { fid: file.fid(), mode: mode & !MODE_REMOVE_ON_CLOSE };
-        let response = self.call_with_effect(open).await?;
+        let response = self.begin(open).await?;
         if matches!(response, Message::Ropen { .. }) {
             file.cache(self.request.handle);
         }
         Ok(response)
     }
 
-    async fn create(&mut self, name: &str, perm: u32, mode: u8) -> OperationResult {
+    async fn create(&self, name: &str, perm: u32, mode: u8) -> OperationResult {
         let file = self.walk().await?;
         let (name, mode) = (name.to_owned(), mode & !MODE_REMOVE_ON_CLOSE);
-        let response = self.call_with_effect(Message::Tcreate { fid: file.fid(), name, perm, mode }).await?;
+        let response = self.begin(Message::Tcreate { fid: file.fid(), name, perm, mode }).await?;
         if matches!(response, Message::Rcreate { .. }) {
             file.cache(self.request.handle);
         }
@@ -96,14 +90,14 @@
     async fn read(&self, offset: u64, count: u32) -> OperationResult {
         let count = count.min(self.connection.max_data_bytes());
         let fid = resume(self.connection, self.request).await?;
-        Ok(self.connection.call(Message::Tread { fid, offset, count }).await?)
+        self.begin(Message::Tread { fid, offset, count }).await
     }
 
-    async fn write(&mut self, offset: u64, data: &Bytes) -> OperationResult {
+    async fn write(&self, offset: u64, data: &Bytes) -> OperationResult {
         let max_bytes = self.connection.max_data_bytes() as usize;
         let fid = resume(self.connection, self.request).await?;
         let data = data.slice(..data.len().min(max_bytes));
-        self.call_with_effect(Message::Twrite { fid, offset, data }).await
+        self.begin(Message::Twrite { fid, offset, data }).await
     }
 
     /// Walks a new fid to the request's file.
@@ -111,9 +105,8 @@
         walk(self.connection, self.request).await
     }
 
-    /// Sends the message that may have an effect at the backend, and waits for its response.
-    async fn call_with_effect(&mut self, message: Message) -> OperationResult {
-        self.effect_sent = true;
-        Ok(self.connection.call(message).await?)
+    /// Sends the message with which the backend begins the operation, and waits for its response.
+    async fn begin(&self, message: Message) -> OperationResult {
+        Ok(self.connection.begin(message).await?)
     }
 }
--- a/crates/sedgerun/src/backend/ninep/request.rs
+++ b/crates/sedgerun/src/backend/ninep/request.rs
@@ -35,6 +35,38 @@
     Remove,
 }
 
+impl FileOperation {
+    /// Whether it may change something at the backend.
+    pub fn has_effect(&self) -> bool {
+        match self {
+            FileOperation::Open { .. }
+            | FileOperation::Create { .. }
+            | FileOperation::Write { .. }
+            | FileOperation::Wstat { .. }
+            | FileOperation::Remove => true,
+            FileOperation::Attach
+            | FileOperation::Walk { .. }
+            | FileOperation::Read { .. }
+            | FileOperation::Stat => false,
+        }
+    }
+
+    /// Its name in the log.
+    pub fn name(&self) -> &'static str {
+        match self {
+            FileOperation::Attach => "attach",
+            FileOperation::Walk { .. } => "walk",
+            FileOperation::Open { .. } => "open",
+            FileOperation::Create { .. } => "create",
+            FileOperation::Read { .. } => "read",
+            FileOperation::Write { .. } => "write",
+            FileOperation::Stat => "stat",
+            FileOperation::Wstat { .. } => "wstat",
+            FileOperation::Remove => "remove",
+        }
+    }
+}
+
 /// One operation of a 9P client, with the file that it applies to.
 #[derive(Debug)]
 pub struct NinePBackendRequest {
--- a/crates/sedgerun/src/config/mod.rs
+++ b/crates/sedgerun/src/config/mod.rs
@@ -31,6 +31,9 @@
 const DEFAULT_DIAL_TIMEOUT: Micros = 250_000;
 /// How many requests may be open at once, where neither the settings nor memory allow fewer.
 const DEFAULT_MAX_OPEN: u64 = 20_000;
+/// The longest pause of the process that deadlines and windows allow for: the platform may hold it up for so long between
+/// reading its clock and writing.
+pub const MAX_PAUSE: Micros = 150_000;
 
 /// The files that the configuration is read from, at the start and again on SIGHUP.
 #[derive(Clone, Debug)]
@@ -122,7 +125,7 @@
         let sockets = reader.limit("sockets", MIN_SOCKETS, DEFAULT_SOCKETS);
         let memory_mb = reader.limit("memory_mb", MIN_MEMORY_MB, DEFAULT_MEMORY_MB);
         let resource_limits = ResourceLimits::new(sockets, memory_mb);
-        let settings = reader.policy_settings();
+        let settings = Settings { max_pause: MAX_PAUSE, ..reader.policy_settings() };
         let config = Config {
             name: reader.string("name").to_owned(),
             listen: reader.address("listen"),
--- a/crates/sedgerun/src/dispatch_service/effects.rs
+++ b/crates/sedgerun/src/dispatch_service/effects.rs
@@ -2,7 +2,7 @@
 
 use super::DispatchService;
 use super::attempts::{AttemptKey, AttemptTask};
-use crate::backend::{AttemptContext, AttemptProgress, BackendRequest, BackendResponse};
+use crate::backend::{AttemptContext, AttemptProgress, BackendRequest, BackendResponse, BeginCheck};
 use sedgerun_dispatch::{AttemptResult, Effect, FinalResponse};
 use sedgerun_policy::{AttemptEnd, BackendId, Micros, RequestId};
 use std::rc::Rc;
@@ -13,6 +13,8 @@
     deadline: Micros,
     /// When the client must have its response, or the beginning of one that is passed on.
     respond_by: Micros,
+    /// Before when it must begin, so that backends recognise it as a duplicate.
+    begin_before: Option<Micros>,
 }
 
 impl DispatchService {
@@ -25,8 +27,8 @@
         loop {
             let Some(effect) = self.dispatcher.borrow_mut().next_effect() else { break };
             match effect {
-                Effect::Send { id, attempt, backend, deadline, respond_by, payload } => {
-                    let times = AttemptTimes { deadline, respond_by };
+                Effect::Send { id, attempt, backend, deadline, respond_by, begin_before, payload } => {
+                    let times = AttemptTimes { deadline, respond_by, begin_before };
                     self.start_attempt(AttemptKey { id, attempt }, backend, times, payload);
                 }
                 Effect::Cancel { id, attempt } => self.cancel_attempt(AttemptKey { id, attempt }),
@@ -48,15 +50,21 @@
         let service = Rc::clone(self);
         let observer = Rc::clone(self);
         let progress = AttemptProgress::new(move |report| observer.attempt_reported(key, report));
-        let AttemptTimes { deadline, respond_by } = times;
-        let context = AttemptContext { clock: self.clock, deadline, respond_by, progress: progress.clone() };
+        let AttemptTimes { deadline, respond_by, begin_before } = times;
+        let clock = self.clock;
+        let begin_check = BeginCheck::new(clock, respond_by, begin_before);
+        let task_check = begin_check.clone();
+        let context = AttemptContext { clock, deadline, respond_by, begin_check, progress: progress.clone() };
+        let request = Rc::clone(&payload);
         let task = actix_rt::spawn(async move {
             let result = service.backends.attempt(backend, &context, &payload).await;
             let result =
                 result.unwrap_or_else(|| AttemptResult::without_response(AttemptEnd::CancelledUnsent));
             service.attempt_ended(key.id, key.attempt, result);
         });
-        self.attempts.insert(key, AttemptTask { backend, progress, handle: task.abort_handle() });
+        let handle = task.abort_handle();
+        self.attempts
+            .insert(key, AttemptTask { request, backend, progress, begin_check: task_check, handle });
     }
 
     fn cancel_attempt(&self, key: AttemptKey) {
--- a/crates/sedgerun/src/dispatch_service/mod.rs
+++ b/crates/sedgerun/src/dispatch_service/mod.rs
@@ -20,7 +20,7 @@
 use crate::backend::{AttemptReport, BackendRequest, BackendResponse, Backends};
 use crate::clock::Clock;
 use crate::metrics::{Metrics, OperationStatus};
-use attempts::{AttemptKey, AttemptTask, AttemptTasks};
+use attempts::{AttemptKey, AttemptTask, AttemptTasks, CallOffReason};
 use futures_util::FutureExt;
 use pending_request::OpenRequest;
 use sedgerun_dispatch::{AttemptResult, BackendOverrides, Dispatcher, RequestSpec};
@@ -47,6 +47,8 @@
     reports: RefCell<VecDeque<(AttemptKey, AttemptReport)>>,
     overrides: RefCell<BackendOverrides>,
     is_applying_effects: Cell<bool>,
+    /// How long after its backend began to drain an attempt of several messages may begin, in microseconds.
+    drain_time: Micros,
     timer_wakeup: TimerWakeup,
     watch_request: Notify,
     /// Notified when a request has received its final response.
@@ -64,8 +66,10 @@
         max_open_requests: usize,
         backends: Backends,
     ) -> Rc<DispatchService> {
+        let drain_time = settings.rules.drain_grace.saturating_sub(settings.max_pause);
         Rc::new(DispatchService {
             clock,
+            drain_time,
             dispatcher: RefCell::new(Dispatcher::new(settings, seed, max_open_requests)),
             backends,
             open_requests: RefCell::default(),
@@ -122,9 +126,13 @@
         attempt: u8,
         result: AttemptResult<BackendResponse>,
     ) {
-        let was_in_flight = self.attempts.remove(AttemptKey { id, attempt }).is_some();
-        if was_in_flight && !UNSENT_ENDS.contains(&result.end) {
-            self.count_relayed(id);
+        if let Some(task) = self.attempts.remove(AttemptKey { id, attempt }) {
+            if !UNSENT_ENDS.contains(&result.end) {
+                self.count_relayed(id);
+            }
+            if task.begin_check.is_called_off() {
+                self.metrics.count_called_off();
+            }
         }
         let now = self.clock.now();
         self.with_dispatcher(|dispatcher| dispatcher.attempt_ended(now, id, attempt, result));
@@ -158,7 +166,7 @@
     pub fn cancel(self: &Rc<Self>, id: RequestId) {
         let now = self.clock.now();
         self.with_dispatcher(|dispatcher| dispatcher.cancel(now, id));
-        self.cancel_unsent(|key, _| key.id == id);
+        self.call_off_attempts(CallOffReason::CancelledByClient, |key, _| key.id == id);
     }
 
     /// Applies an update of the endpoint list. Backends that operators have disabled are passed on as
@@ -181,8 +189,9 @@
     }
 
     /// Passes an update of the endpoint list, with the overrides applied, to the controller. Attempts at
-    /// backends that no longer accept requests are cancelled if nothing of them has been written yet: their
-    /// connection might be established long after the grace period.
+    /// backends that no longer accept requests are called off if nothing of them has been written yet: their
+    /// connection might be established long after the grace period. An attempt counts from its first byte here, so
+    /// others go on; one over 9P, which consists of several messages, begins within the grace period or not at all.
     fn notify_controller(self: &Rc<Self>, now: Micros, scope: UpdateScope, endpoints: Vec<Endpoint>) {
         let is_ready: BTreeMap<BackendId, bool> = endpoints
             .iter()
@@ -190,13 +199,24 @@
             .collect();
         self.with_dispatcher(|dispatcher| dispatcher.update_endpoints(now, scope, endpoints));
         let is_complete = matches!(scope, UpdateScope::Cached | UpdateScope::Full);
-        self.cancel_unsent(|_, task| !is_ready.get(&task.backend).copied().unwrap_or(!is_complete));
+        let is_leaving = |task: &AttemptTask| !is_ready.get(&task.backend).copied().unwrap_or(!is_complete);
+        self.attempts.limit(now + self.drain_time, |task| !task.request.is_one_message() && is_leaving(task));
+        self.call_off_attempts(CallOffReason::BackendLeaving, |_, task| {
+            !task.progress.is_started() && is_leaving(task)
+        });
     }
 
-    /// Cancels the attempts that match `is_affected` and of which nothing has been written; they never ran.
-    fn cancel_unsent(self: &Rc<Self>, is_affected: impl Fn(&AttemptKey, &AttemptTask) -> bool) {
-        for key in self.attempts.unsent(is_affected) {
+    /// Calls off the attempts that match `is_affected` and have not begun; they never ran.
+    fn call_off_attempts(
+        self: &Rc<Self>,
+        reason: CallOffReason,
+        is_affected: impl Fn(&AttemptKey, &AttemptTask) -> bool,
+    ) {
+        for key in self.attempts.call_off(is_affected) {
             if let Some(task) = self.attempts.remove(key) {
+                let request = &task.request;
+                tracing::info!("{request}: attempt {} called off before it began: {reason}", key.attempt);
+                self.metrics.count_called_off();
                 task.abort();
             }
             let now = self.clock.now();
--- a/crates/sedgerun/src/dispatch_service/pending_request.rs
+++ b/crates/sedgerun/src/dispatch_service/pending_request.rs
@@ -1,6 +1,7 @@
 //! A client's side of an open request.
 
 use super::DispatchService;
+use super::attempts::CallOffReason;
 use crate::backend::BackendResponse;
 use sedgerun_dispatch::FinalResponse;
 use sedgerun_policy::RequestId;
@@ -55,12 +56,12 @@
 }
 
 impl DispatchService {
-    /// Notifies the dispatcher that the client of a request has disconnected. Attempts of which nothing has
-    /// been written are cancelled.
+    /// Notifies the dispatcher that the client of a request has disconnected. Attempts that have not begun are called
+    /// off.
     fn disconnect(self: &Rc<Self>, id: RequestId) {
         self.open_requests.borrow_mut().remove(&id);
         let now = self.clock.now();
         self.with_dispatcher(|dispatcher| dispatcher.client_disconnected(now, id));
-        self.cancel_unsent(|key, _| key.id == id);
+        self.call_off_attempts(CallOffReason::Disconnected, |key, _| key.id == id);
     }
 }
--- a/crates/sedgerun/src/metrics.rs
+++ b/crates/sedgerun/src/metrics.rs
@@ -38,6 +38,8 @@
     pub discovery: Arc<Traffic>,
     /// The stalls of the event loop.
     pub event_loop: EventLoopMonitor,
+    /// Attempts that were called off before they began.
+    attempts_called_off: Cell<u64>,
 }
 
 impl Metrics {
@@ -51,6 +53,16 @@
         count.set(count.get() + 1);
     }
 
+    /// Counts one more attempt that was called off before it began.
+    pub fn count_called_off(&self) {
+        self.attempts_called_off.set(self.attempts_called_off.get() + 1);
+    }
+
+    /// The attempts that were called off before they began.
+    pub fn attempts_called_off(&self) -> u64 {
+        self.attempts_called_off.get()
+    }
+
     /// A count, for tests and reports.
     pub fn get(&self, class: usize, status: OperationStatus) -> u64 {
         self.counts.borrow().get(class).map_or(0, |counts| counts[status as usize].get())
--- a/crates/sedgerun/tests/frozen_settings.rs
+++ b/crates/sedgerun/tests/frozen_settings.rs
@@ -86,6 +86,7 @@
 fn the_settings_of_the_decisions_come_to_their_values() {
     let settings = read(None).settings;
     assert_eq!((settings.heads, settings.tick, settings.zone), (3, 2000, 1));
+    assert_eq!(settings.max_pause, 150_000);
     assert_eq!((settings.mean_units, settings.max_units, settings.usage_report_period), (2.0, 8.0, 500_000));
     let permits = Permissions {
         must_poll: true,
--- a/crates/sedgerun/tests/peers/mod.rs
+++ b/crates/sedgerun/tests/peers/mod.rs
@@ -2,9 +2,13 @@
 //! slowly, and steady clients beside them, whose every request has to get an answer.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+mod attempt_log;
 mod described_backend;
 mod flood;
 
+#[allow(unused_imports, reason = "each test file uses a part")]
+pub use attempt_log::{AttemptLog, Ending, SeenAttempt, Treatment, hold_up};
+
 #[allow(unused_imports, reason = "each test file uses a part")]
 pub use described_backend::{Described, DescribedBackend, Given, write_described};
 #[allow(unused_imports, reason = "each test file uses a part")]
