9P: a fid refers to its file, and is refused where its path leads to another one

Cause: the session kept the path of a fid and nothing of its qid, and each operation that has no fid at the backend walked that path anew. Whatever it led to by then was taken for the file. Stat, wstat and remove of an open fid walked as well, though its own fid at the backend was there.

Change: a fid carries what identifies its file: the qid's path, and its type but for the bits that a wstat changes; the version changes with each write. It is learned from Rattach, Rwalk and Rcreate, and compared behind each walk, before anything is sent that reads or changes, and again with Ropen. A difference is answered with "stale file handle: another file has its name". Stat, wstat, remove and a clunk that removes use the fid that is open at the backend where there is one. Metric app_ninep_replaced_files, and a line with the path and both files. The stand-in of the tests took a file's place in a sorted list for its number, which changes as files come and go; its files have numbers of their own now, the same as before for those that the recorded exchanges name.

--- a/crates/protocol-9p/src/lib.rs
+++ b/crates/protocol-9p/src/lib.rs
@@ -35,6 +35,9 @@
 pub const MODE_REMOVE_ON_CLOSE: u8 = 0x40;
 /// The bit of a qid's kind that marks a directory.
 pub const QID_DIRECTORY: u8 = 0x80;
+/// The bits of a qid's kind that follow from the file's mode, which a `Twstat` can change: append only, exclusive use, and
+/// temporary.
+pub const QID_MODE_MASK: u8 = 0x64;
 
 /// A frame or directory entry that does not follow the protocol.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
--- a/crates/sedgerun/src/backend/ninep/connection.rs
+++ b/crates/sedgerun/src/backend/ninep/connection.rs
@@ -199,6 +199,11 @@
         self.max_message_bytes.get() - IO_HEADER_SIZE
     }
 
+    /// The fid cached for a client's open file, which becomes stale at the end of the attempt unless it is kept.
+    pub(super) fn take_open_file(&self, handle: u64) -> Option<FidGuard<'_>> {
+        FidGuard::take_open_file(&self.fids, handle)
+    }
+
     /// A new fid, which becomes stale at the end of the attempt unless it is kept or cached.
     pub(super) fn new_fid(&self) -> FidGuard<'_> {
         FidGuard::new(&self.fids)
--- a/crates/sedgerun/src/backend/ninep/fids.rs
+++ b/crates/sedgerun/src/backend/ninep/fids.rs
@@ -81,6 +81,12 @@
         FidGuard { table, fid: fids.last_fid, is_kept: false }
     }
 
+    /// Takes over the fid cached for a client's open file; `None` if there is none.
+    pub(super) fn take_open_file(table: &'a RefCell<FidTable>, handle: u64) -> Option<FidGuard<'a>> {
+        let fid = table.borrow_mut().open_files.remove(&handle)?;
+        Some(FidGuard { table, fid, is_kept: false })
+    }
+
     pub(super) fn fid(&self) -> u32 {
         self.fid
     }
--- a/crates/sedgerun/src/backend/ninep/files.rs
+++ b/crates/sedgerun/src/backend/ninep/files.rs
@@ -1,10 +1,12 @@
 //! Maps a client's path to a fid on a connection: attaches trees, walks paths and reopens a client's open
 //! files.
 //!
-//! An attempt walks from the backend's root and so needs no state of earlier attempts.
+//! An attempt walks from the backend's root and so needs no state of earlier attempts. The path may lead to another file
+//! than before, which is neither read nor changed for the client.
 
 use super::connection::{AttemptConnection, CallError};
 use super::fids::FidGuard;
+use super::file_identity::{FileReplaced, check_identity};
 use super::request::{FileOperation, NinePBackendRequest};
 use super::roots::{Root, TreeKey};
 use sedgerun_protocol_9p::{MAX_WALK_NAMES, MODE_ACCESS_MASK, Message, NO_FID, QID_DIRECTORY, Qid};
@@ -14,6 +16,8 @@
 pub(super) enum OperationStopped {
     /// A call has no response.
     Call(CallError),
+    /// The path leads to another file than the client's.
+    FileReplaced(FileReplaced),
     /// The backend's response to an earlier step, such as an error, which becomes the response to the
     /// operation.
     Response(Message),
@@ -25,6 +29,12 @@
     }
 }
 
+impl From<FileReplaced> for OperationStopped {
+    fn from(error: FileReplaced) -> OperationStopped {
+        OperationStopped::FileReplaced(error)
+    }
+}
+
 /// The root of a request's tree, attached for as long as this is held.
 pub(super) enum AttachedRoot<'a> {
     /// It is kept for later attempts.
@@ -79,7 +89,7 @@
 ) -> Result<FidGuard<'a>, OperationStopped> {
     let root = attach(connection, request).await?;
     let file = connection.new_fid();
-    let mut from = root.fid();
+    let (mut from, mut qid) = (root.fid(), root.qid());
     let mut parts: Vec<&[String]> = request.path.chunks(MAX_WALK_NAMES).collect();
     if parts.is_empty() {
         parts.push(&[]);
@@ -87,7 +97,10 @@
     for names in parts {
         let walk = Message::Twalk { fid: from, newfid: file.fid(), names: names.to_vec() };
         match connection.call(walk).await? {
-            Message::Rwalk { qids } if qids.len() == names.len() => from = file.fid(),
+            Message::Rwalk { qids } if qids.len() == names.len() => {
+                from = file.fid();
+                qid = qids.last().copied().unwrap_or(qid);
+            }
             Message::Rwalk { .. } => {
                 let not_found = Message::Rerror { ename: "file does not exist".into() };
                 return Err(OperationStopped::Response(not_found));
@@ -95,9 +108,38 @@
             other => return Err(OperationStopped::Response(other)),
         }
     }
+    check_identity(request.file, qid)?;
     Ok(file)
 }
 
+/// A fid of a file: the one cached for a client's open file, or one of this attempt.
+pub(super) enum LocatedFile<'a> {
+    /// It refers to its file, whatever has become of the path.
+    Open(u32),
+    /// The path was walked.
+    Walked(FidGuard<'a>),
+}
+
+impl LocatedFile<'_> {
+    pub(super) fn fid(&self) -> u32 {
+        match self {
+            LocatedFile::Open(fid) => *fid,
+            LocatedFile::Walked(fid) => fid.fid(),
+        }
+    }
+}
+
+/// The fid cached for a client's file, if that is open here, or a new one that was walked to it.
+pub(super) async fn locate<'a>(
+    connection: &'a AttemptConnection,
+    request: &NinePBackendRequest,
+) -> Result<LocatedFile<'a>, OperationStopped> {
+    if let Some(fid) = connection.fids.borrow().cached(request.handle) {
+        return Ok(LocatedFile::Open(fid));
+    }
+    Ok(LocatedFile::Walked(walk(connection, request).await?))
+}
+
 /// The fid cached for a client's open file. If there is none, the file is opened again, without truncating
 /// it; a directory is then read up to the client's offset.
 pub(super) async fn resume(
@@ -113,6 +155,7 @@
         Message::Ropen { qid, .. } => qid,
         other => return Err(OperationStopped::Response(other)),
     };
+    check_identity(request.file, qid)?;
     if let (FileOperation::Read { offset, .. }, true) = (&request.op, qid.kind & QID_DIRECTORY != 0) {
         skip_directory_entries(connection, fid, *offset).await?;
     }
--- a/crates/sedgerun/src/backend/ninep/operation.rs
+++ b/crates/sedgerun/src/backend/ninep/operation.rs
@@ -2,10 +2,23 @@
 
 use super::connection::{AttemptConnection, CallError};
 use super::fids::FidGuard;
-use super::files::{OperationStopped, attach, resume, walk};
+use super::file_identity::{FileReplaced, check_identity};
+use super::files::{OperationStopped, attach, locate, resume, walk};
 use super::request::{FileOperation, NinePBackendRequest};
 use bytes::Bytes;
 use sedgerun_protocol_9p::{MODE_REMOVE_ON_CLOSE, Message};
+use thiserror::Error;
+
+/// Why an operation has no response of its backend.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub(super) enum OperationError {
+    /// A call has no response.
+    #[error(transparent)]
+    Call(#[from] CallError),
+    /// Another file has taken the place of the client's.
+    #[error(transparent)]
+    FileReplaced(#[from] FileReplaced),
+}
 
 type OperationResult = Result<Message, OperationStopped>;
 
@@ -24,12 +37,13 @@
     ///
     /// # Errors
     ///
-    /// The connection was lost, or the attempt was called off before the operation began.
-    pub(super) async fn run(&self) -> Result<Message, CallError> {
+    /// The connection was lost, the attempt was called off before the operation began, or the path leads to another file.
+    pub(super) async fn run(&self) -> Result<Message, OperationError> {
         self.connection.clunk_stale();
         match self.execute().await {
             Ok(response) | Err(OperationStopped::Response(response)) => Ok(response),
-            Err(OperationStopped::Call(error)) => Err(error),
+            Err(OperationStopped::Call(error)) => Err(error.into()),
+            Err(OperationStopped::FileReplaced(error)) => Err(error.into()),
         }
     }
 
@@ -45,17 +59,18 @@
             FileOperation::Read { offset, count } => self.read(*offset, *count).await,
             FileOperation::Write { offset, data } => self.write(*offset, data).await,
             FileOperation::Stat => {
-                let file = self.walk().await?;
+                let file = locate(self.connection, self.request).await?;
                 self.begin(Message::Tstat { fid: file.fid() }).await
             }
             FileOperation::Wstat { stat } => {
-                let file = self.walk().await?;
+                let file = locate(self.connection, self.request).await?;
                 self.begin(Message::Twstat { fid: file.fid(), stat: stat.clone() }).await
             }
             FileOperation::Remove => {
-                let file = self.walk().await?;
-                let fid = file.keep(); // Tremove clunks the fid even if it fails
-                self.begin(Message::Tremove { fid }).await
+                let file = self.fid_to_remove().await?;
+                let response = self.begin(Message::Tremove { fid: file.fid() }).await?;
+                file.keep(); // Tremove has clunked the fid even if it has failed.
+                Ok(response)
             }
         }
     }
@@ -71,7 +86,8 @@
         let file = self.walk().await?;
         let open = Message::Topen { fid: file.fid(), mode: mode & !MODE_REMOVE_ON_CLOSE };
         let response = self.begin(open).await?;
-        if matches!(response, Message::Ropen { .. }) {
+        if let Message::Ropen { qid, .. } = response {
+            check_identity(self.request.file, qid)?;
             file.cache(self.request.handle);
         }
         Ok(response)
@@ -105,6 +121,14 @@
         walk(self.connection, self.request).await
     }
 
+    /// The fid of the client's open file, which is closed with it, or a new one that was walked to its file.
+    async fn fid_to_remove(&self) -> Result<FidGuard<'a>, OperationStopped> {
+        match self.connection.take_open_file(self.request.handle) {
+            Some(file) => Ok(file),
+            None => self.walk().await,
+        }
+    }
+
     /// Sends the message with which the backend begins the operation, and waits for its response.
     async fn begin(&self, message: Message) -> OperationResult {
         Ok(self.connection.begin(message).await?)
--- a/crates/sedgerun/src/backend/ninep/request.rs
+++ b/crates/sedgerun/src/backend/ninep/request.rs
@@ -1,5 +1,6 @@
 //! A 9P client's operation, independent of the connection and fids that serve it.
 
+use super::file_identity::FileIdentity;
 use bytes::Bytes;
 use std::rc::Rc;
 
@@ -76,6 +77,8 @@
     pub tree: String,
     /// Path of the file from the tree's root.
     pub path: Vec<String>,
+    /// The file that the client means, wherever the path leads now; `None` before it is known.
+    pub file: Option<FileIdentity>,
     /// Handle of the client's open file, under which its fid is cached.
     pub handle: u64,
     /// The mode that the client opened the file with.
--- a/crates/sedgerun/src/frontend/ninep/fids.rs
+++ b/crates/sedgerun/src/frontend/ninep/fids.rs
@@ -2,6 +2,7 @@
 //! on a copy of its fid, so that no borrow of the table is held while it waits.
 
 use super::error::NinePError;
+use crate::backend::ninep::FileIdentity;
 use crate::tenants::Export;
 use sedgerun_protocol_9p::NO_FID;
 use std::cell::RefCell;
@@ -16,6 +17,8 @@
     pub(super) uname: Rc<str>,
     /// The path from the export's root, a name per element.
     pub(super) path: Vec<String>,
+    /// The file itself, wherever the path leads now; `None` until it is attached.
+    pub(super) file: Option<FileIdentity>,
     /// The mode that the file is open in; `None` if it is not open.
     pub(super) open_mode: Option<u8>,
     /// Identifies the open file at backends.
@@ -23,7 +26,7 @@
 }
 
 /// Memory of a fid besides its names, in bytes.
-const FID_BYTES: usize = 160;
+const FID_BYTES: usize = 192;
 /// Memory of a name in a path besides its text, in bytes.
 const NAME_BYTES: usize = 40;
 
--- a/crates/sedgerun/src/frontend/ninep/open.rs
+++ b/crates/sedgerun/src/frontend/ninep/open.rs
@@ -49,6 +49,7 @@
         let Message::Rcreate { qid, iounit } = reply else { return Ok(reply) };
         session.fids.update(number, |fid| {
             fid.path.push(name);
+            fid.file = Some(qid.into());
             fid.open_mode = Some(mode);
         });
         Ok(Message::Rcreate { qid, iounit: io_unit(session, iounit) })
--- a/crates/sedgerun/src/frontend/ninep/operations.rs
+++ b/crates/sedgerun/src/frontend/ninep/operations.rs
@@ -12,6 +12,18 @@
 /// The mode of a fid that is open for both reading and writing.
 const MODE_READ_WRITE: u8 = 2;
 
+/// Closes a client's open file at the backends when dropped.
+struct HandleRelease<'a> {
+    frontend: &'a NinePFrontend,
+    handle: u64,
+}
+
+impl Drop for HandleRelease<'_> {
+    fn drop(&mut self) {
+        self.frontend.release_handle(self.handle);
+    }
+}
+
 impl NinePFrontend {
     /// Carries out a message and returns its reply.
     pub(super) async fn perform(
@@ -60,14 +72,21 @@
         fids.check_available(number, limits)?;
         let export = self.tenants.borrow().export(export_name);
         let export = export.ok_or_else(|| NinePError::UnknownExport(export_name.to_owned()))?;
-        let root =
-            Fid { export, uname: uname.into(), path: Vec::new(), open_mode: None, handle: self.new_handle() };
+        let mut root = Fid {
+            export,
+            uname: uname.into(),
+            path: Vec::new(),
+            file: None,
+            open_mode: None,
+            handle: self.new_handle(),
+        };
         fids.check_memory(number, &root, limits)?;
         let reply = self.submit(operation, &root, FileOperation::Attach).await?;
         // Another operation of the session may have used the number in the meantime.
         fids.check_available(number, limits)?;
         fids.check_memory(number, &root, limits)?;
-        if matches!(reply, Message::Rattach { .. }) {
+        if let Message::Rattach { qid } = reply {
+            root.file = Some(qid.into());
             fids.insert(number, root);
         }
         Ok(reply)
@@ -109,7 +128,7 @@
     /// Removes a fid, and its file if the file was opened with remove-on-close.
     async fn clunk(&self, operation: &Operation, number: u32) -> Result<Message, NinePError> {
         let fid = operation.session.fids.remove(number)?;
-        self.release_handle(fid.handle);
+        let _release = HandleRelease { frontend: self, handle: fid.handle };
         if fid.open_mode.is_some_and(|mode| mode & MODE_REMOVE_ON_CLOSE != 0) {
             // As 9P specifies, the clunk succeeds whether or not the file could be removed.
             let _ = self.submit(operation, &fid, FileOperation::Remove).await;
@@ -120,7 +139,7 @@
     /// Removes a file and its fid. The fid is removed even if the file could not be.
     async fn remove(&self, operation: &Operation, number: u32) -> Result<Message, NinePError> {
         let fid = operation.session.fids.remove(number)?;
-        self.release_handle(fid.handle);
+        let _release = HandleRelease { frontend: self, handle: fid.handle };
         if fid.path.is_empty() {
             return Err(NinePError::RootNotRemovable);
         }
--- a/crates/sedgerun/src/frontend/ninep/submission.rs
+++ b/crates/sedgerun/src/frontend/ninep/submission.rs
@@ -34,6 +34,7 @@
             uname: Rc::clone(&fid.uname),
             tree: export.tree.clone(),
             path: fid.path.clone(),
+            file: fid.file,
             handle: fid.handle,
             mode: fid.open_mode.unwrap_or_default(),
             op,
--- a/crates/sedgerun/src/frontend/ninep/walk.rs
+++ b/crates/sedgerun/src/frontend/ninep/walk.rs
@@ -29,7 +29,7 @@
             fids.check_available(new_number, limits)?;
         }
         let path = resolve_path(&from.path, &names)?;
-        let to = Fid { path, handle: self.new_handle(), ..from.clone() };
+        let mut to = Fid { path, handle: self.new_handle(), ..from.clone() };
         fids.check_memory(new_number, &to, limits)?;
         let steps = names.len();
         let reply = if steps == 0 {
@@ -37,7 +37,12 @@
         } else {
             self.submit(operation, &from, FileOperation::Walk { names }).await?
         };
-        if matches!(&reply, Message::Rwalk { qids } if qids.len() == steps) {
+        if let Message::Rwalk { qids } = &reply
+            && qids.len() == steps
+        {
+            if let Some(qid) = qids.last() {
+                to.file = Some((*qid).into());
+            }
             // Another operation of the session may have used the number in the meantime.
             if new_number != number {
                 fids.check_available(new_number, limits)?;
--- a/crates/sedgerun/src/management/mod.rs
+++ b/crates/sedgerun/src/management/mod.rs
@@ -205,6 +205,7 @@
         gauges.extend(self.dispatch.metrics.discovery.totals().as_metrics(DISCOVERY_TRAFFIC));
         gauges.extend(self.dispatch.metrics.event_loop.as_metrics());
         gauges.push(("attempts_called_off", self.dispatch.metrics.attempts_called_off()));
+        gauges.push(("ninep_replaced_files", self.dispatch.backends().ninep.replaced_files()));
         gauges.extend(self.cluster.iter().flat_map(|cluster| cluster.metrics()));
         self.dispatch.metrics.render(&self.config.classes, &gauges)
     }
--- a/crates/sedgerun/tests/peers/mod.rs
+++ b/crates/sedgerun/tests/peers/mod.rs
@@ -4,6 +4,7 @@
 
 mod attempt_log;
 mod described_backend;
+mod file_backend;
 mod flood;
 
 #[allow(unused_imports, reason = "each test file uses a part")]
@@ -12,6 +13,8 @@
 #[allow(unused_imports, reason = "each test file uses a part")]
 pub use described_backend::{Described, DescribedBackend, Given, write_described};
 #[allow(unused_imports, reason = "each test file uses a part")]
+pub use file_backend::{DIRECTORY_PERMISSION, Deed, FileBackend, FileTree, ROOT};
+#[allow(unused_imports, reason = "each test file uses a part")]
 pub use flood::{FloodInput, write_until_closed};
 
 use crate::standin::{Program, get, read_http, write_request};
--- a/crates/sedgerun/tests/standin/mod.rs
+++ b/crates/sedgerun/tests/standin/mod.rs
@@ -130,6 +130,8 @@
 
 #[derive(Clone, Default)]
 struct File {
+    /// Identifies it for its lifetime, whatever its name.
+    number: u64,
     data: Vec<u8>,
     directory: bool,
 }
@@ -148,6 +150,8 @@
     fault: Arc<Mutex<Fault>>,
     files: Arc<Mutex<BTreeMap<Vec<String>, File>>>,
     pub last: Arc<AtomicU64>,
+    /// The number of the file that was created last.
+    last_number: Arc<AtomicU64>,
     born: Instant,
 }
 
@@ -161,7 +165,9 @@
             path.push(format!("d{depth}"));
             files.insert(path.clone(), File { directory: true, ..File::default() });
         }
-        files.insert(vec!["proof".into()], File { data: b"a print proof".to_vec(), directory: false });
+        files.insert(vec!["proof".into()], File { data: b"a print proof".to_vec(), ..File::default() });
+        files.values_mut().zip(0..).for_each(|(file, number)| file.number = number);
+        let last_number = Arc::new(AtomicU64::new(files.len() as u64));
         let standin = StandIn {
             id: id.into(),
             shard,
@@ -173,6 +179,7 @@
             fault: Arc::new(Mutex::new(fault)),
             files: Arc::new(Mutex::new(files)),
             last: Arc::default(),
+            last_number,
             born: Instant::now(),
         };
         let each = standin.clone();
@@ -275,9 +282,8 @@
         let mut files = self.files.lock().expect("files");
         let error = |ename: &str| Message::Rerror { ename: ename.into() };
         let qid = |path: &Vec<String>, files: &BTreeMap<Vec<String>, File>| {
-            let number = files.keys().position(|known| known == path).unwrap_or(0);
             let kind = if files[path].directory { QID_DIRECTORY } else { 0 };
-            Qid { kind, version: 0, path: number as u64 }
+            Qid { kind, version: 0, path: files[path].number }
         };
         let path = |fid: &u32| fids.get(fid).filter(|path| files.contains_key(*path)).cloned();
         match message {
@@ -329,7 +335,8 @@
                 if files.contains_key(&path) {
                     return error("file exists");
                 }
-                files.insert(path.clone(), File::default());
+                let number = self.last_number.fetch_add(1, Ordering::SeqCst) + 1;
+                files.insert(path.clone(), File { number, ..File::default() });
                 let qid = qid(&path, &files);
                 fids.insert(fid, path);
                 Message::Rcreate { qid, iounit: 0 }
