HTTP: a small attempt's request takes no larger copy than before

Change: bodies beyond 4 KiB are written behind their first part, as before; the last byte is still checked on its own.

--- a/crates/sedgerun/src/backend/http/connection.rs
+++ b/crates/sedgerun/src/backend/http/connection.rs
@@ -3,7 +3,8 @@
 use crate::backend::{BeginCheck, CalledOff};
 use crate::descriptors::{DescriptorPermit, Descriptors};
 use crate::http1::{
-    BodyError, BodyFraming, HeadError, ReceiveBuffer, ResponseHead, parse_response, write_message,
+    BodyError, BodyFraming, HeadError, JOINED_BODY_BYTES, ReceiveBuffer, ResponseHead, parse_response,
+    write_message,
 };
 use crate::memory_budget::{BodyTooLarge, MemoryBudget};
 use sedgerun_cluster::traffic::Traffic;
@@ -22,8 +23,8 @@
 const MAX_INFORMATIONAL_HEADS: usize = 16;
 /// The informational status after which the connection no longer carries HTTP.
 const SWITCHING_PROTOCOLS: u16 = 101;
-/// Bytes that go out at once on a connection with nothing in flight, whatever its peer does: the initial congestion window
-/// of ten segments.
+/// Bytes that go out at once on a connection with nothing in flight, though its peer reads nothing: the initial congestion
+/// window of ten segments.
 const INITIAL_WINDOW_BYTES: usize = 10 * 1460;
 /// Time before a connection is tried again for which the system had no resources.
 const OPEN_RETRY_PAUSE: Duration = Duration::from_millis(10);
@@ -222,16 +223,17 @@
         check: &BeginCheck,
     ) -> Result<(), SendError> {
         self.is_request_open = true;
-        if head.len() + body.len() <= INITIAL_WINDOW_BYTES {
+        if body.len() <= JOINED_BODY_BYTES {
             return self.send_end(&[head, body].concat(), stall_time, check).await;
         }
-        let (head, body, last) = match body.split_last_chunk::<1>() {
-            Some((body, last)) => (head, body, last.as_slice()),
-            None => (&head[..head.len() - 1], body, &head[head.len() - 1..]),
-        };
-        write_message(&self.stream, head, body, stall_time, |_| {}).await?;
-        self.stream.wait_until_sent().await?;
-        self.send_end(last, stall_time, check).await
+        let is_sent_at_once = head.len() + body.len() <= INITIAL_WINDOW_BYTES;
+        let front_bytes = if is_sent_at_once { JOINED_BODY_BYTES } else { body.len() - 1 };
+        let (front, end) = body.split_at(front_bytes);
+        write_message(&self.stream, head, front, stall_time, |_| {}).await?;
+        if !is_sent_at_once {
+            self.stream.wait_until_sent().await?;
+        }
+        self.send_end(end, stall_time, check).await
     }
 
     /// Writes the end of an attempt's request, of which nothing is in the send queue yet.
--- a/crates/sedgerun/src/http1/socket.rs
+++ b/crates/sedgerun/src/http1/socket.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 /// Bytes of a body that are sent with its head.
-const JOINED_BODY_BYTES: usize = 4 * 1024;
+pub const JOINED_BODY_BYTES: usize = 4 * 1024;
 
 /// Writes `head` and then `body`; a small body goes out with the head. `on_progress` is called with each number of bytes
 /// that the socket has taken; a part must be taken within `stall_time`.
